Lay the ground: core, HTTP wrappers, store interface, checks

Cause: nothing exists yet; every later part needs typed identifiers, errors, a clock interface, tables, an HTTP server and client, the interface of the platform's key-value service with an in-memory fake, and one command that checks format, lint, build, tests and sanitizers.

--- /dev/null
+++ b/src/http/constants.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <string_view>
+
+namespace cicadahatch::http {
+
+/// Bodies larger than this are refused with 413 unless the server is built with another bound.
+inline constexpr std::size_t default_max_body_bytes = 4UL * 1024 * 1024;
+
+/// Time after which a server gives up on a request that is not arriving.
+inline constexpr std::chrono::milliseconds default_receive_timeout{10'000};
+
+/// Time for which a server keeps an idle connection.
+inline constexpr std::chrono::milliseconds default_keep_alive{30'000};
+
+/// Preference (RFC 7240) of a caller whose client can't read interim responses.
+inline constexpr std::string_view prefer_no_interim = "no-interim";
+
+inline constexpr int status_ok = 200;
+inline constexpr int status_bad_request = 400;
+inline constexpr int status_unauthorized = 401;
+inline constexpr int status_forbidden = 403;
+inline constexpr int status_not_found = 404;
+inline constexpr int status_method_not_allowed = 405;
+inline constexpr int status_conflict = 409;
+inline constexpr int status_gone = 410;
+inline constexpr int status_too_large = 413;
+inline constexpr int status_unprocessable = 422;
+inline constexpr int status_too_many_requests = 429;
+inline constexpr int status_internal_error = 500;
+inline constexpr int status_bad_gateway = 502;
+inline constexpr int status_unavailable = 503;
+inline constexpr int status_gateway_timeout = 504;
+
+} // namespace cicadahatch::http
--- /dev/null
+++ b/src/http/response_stream.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "src/http/client.hpp"
+
+#include <cstddef>
+
+namespace cicadahatch::http {
+
+/// \brief A response whose body is read line by line as it arrives.
+class response_stream {
+public:
+    /// \brief Sends a request and waits for the head of the response.
+    /// \param timeout longest wait for the head
+    [[nodiscard]] static result<response_stream> open(const endpoint& place, const request& sent,
+                                                      std::chrono::milliseconds timeout);
+
+    /// \returns status and headers
+    [[nodiscard]] const response& head() const noexcept { return head_; }
+
+    /// \brief Waits for the next line.
+    /// \param max_bytes longest accepted line
+    /// \returns the line without its end, errc::response_broken at the end of the body or after
+    /// CivetWeb's own receive timeout, or errc::header_too_large
+    [[nodiscard]] result<std::string> read_line(std::size_t max_bytes);
+
+    /// \returns the rest of the body
+    [[nodiscard]] result<std::string> read_rest();
+
+private:
+    response_stream(client_connection connection, response head)
+        : connection_(std::move(connection)), head_(std::move(head)) {}
+
+    client_connection connection_;
+    response head_;
+};
+
+} // namespace cicadahatch::http
--- /dev/null
+++ b/src/platform/store.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "src/core/clock.hpp"
+#include "src/core/identifiers.hpp"
+#include "src/core/result.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cicadahatch::platform {
+
+using lease_id = number_id<struct lease_tag, std::uint64_t>;
+
+/// \brief One key of the key-value service.
+struct entry {
+    std::string key;
+    std::string value;
+    revision created;  ///< store revision at which the key came into being
+    revision modified; ///< store revision of the last write
+    lease_id lease;    ///< empty: kept until erased
+};
+
+/// \brief The keys below a prefix, as of one store revision.
+struct listing {
+    std::vector<entry> entries;
+    revision at;
+};
+
+/// \brief What a compare-and-swap did.
+struct swap_outcome {
+    bool is_swapped = false;
+    revision at;                  ///< store revision of the reply
+    std::optional<entry> current; ///< the key as it is now, if the swap was refused
+};
+
+/// \brief One change seen by a watch.
+struct change {
+    entry changed; ///< value is empty if erased
+    bool is_erased = false;
+};
+
+/// \brief Changes since a revision, in their order.
+struct change_batch {
+    std::vector<change> changes;
+    revision next; ///< pass this to the next call of watch()
+};
+
+/// \brief The platform's key-value service. Safe for use by several threads.
+/// Every call blocks for at most the implementation's timeout. Errors are of platform::errc.
+class store {
+public:
+    store() = default;
+    store(const store&) = delete;
+    store& operator=(const store&) = delete;
+    store(store&&) = delete;
+    store& operator=(store&&) = delete;
+    virtual ~store() = default;
+
+    /// \returns the entry, or nothing if the key is absent
+    [[nodiscard]] virtual result<std::optional<entry>> get(const std::string& key) = 0;
+
+    /// \returns all entries whose key begins with prefix
+    [[nodiscard]] virtual result<listing> list(const std::string& prefix) = 0;
+
+    /// \brief Writes if the key's last write is at the expected revision.
+    /// \param expected the empty revision means that the key must be absent
+    /// \param lease erases the key when the lease ends; empty: no lease
+    /// \returns the outcome; errc::outcome_unknown means that the caller must read back
+    [[nodiscard]] virtual result<swap_outcome> swap(const std::string& key, revision expected,
+                                                    const std::string& value,
+                                                    lease_id lease = {}) = 0;
+
+    /// \brief Erases if the key's last write is at the expected revision.
+    [[nodiscard]] virtual result<swap_outcome> erase(const std::string& key, revision expected) = 0;
+
+    /// \brief Grants a lease that ends unless it is kept alive.
+    [[nodiscard]] virtual result<lease_id> grant_lease(std::chrono::seconds time_to_live) = 0;
+
+    /// \returns the time left, or errc::lease_expired
+    [[nodiscard]] virtual result<std::chrono::seconds> keep_alive(lease_id lease) = 0;
+
+    /// \brief Ends a lease and erases its keys.
+    [[nodiscard]] virtual result<void> revoke_lease(lease_id lease) = 0;
+
+    /// \brief Waits for changes below a prefix, from a revision on.
+    /// \param from first revision of interest: the next of an earlier batch, or one more than the
+    /// revision of a listing
+    /// \param wait longest time to wait; the batch is empty if nothing changed
+    /// \returns the changes without a gap, or errc::compacted
+    [[nodiscard]] virtual result<change_batch> watch(const std::string& prefix, revision from,
+                                                     std::chrono::milliseconds wait) = 0;
+};
+
+} // namespace cicadahatch::platform
--- /dev/null
+++ b/test/support/memory_store.cpp
@@ -0,0 +1,270 @@
+#include "test/support/memory_store.hpp"
+
+namespace cicadahatch::test_support {
+
+using platform::change;
+using platform::change_batch;
+using platform::entry;
+using platform::errc;
+using platform::lease_id;
+using platform::listing;
+using platform::swap_outcome;
+
+namespace {
+
+bool begins_with(const std::string& text, const std::string& prefix) {
+    return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+/// The error of a write that met a fault; none for a write whose reply arrives.
+std::optional<errc> write_error(store_fault fault) {
+    switch (fault) {
+    case store_fault::none:
+        return std::nullopt;
+    case store_fault::unavailable:
+        return errc::unavailable;
+    case store_fault::lose_reply:
+    case store_fault::drop_request:
+        return errc::outcome_unknown;
+    }
+    return errc::protocol;
+}
+
+bool takes_effect(store_fault fault) {
+    return fault == store_fault::none || fault == store_fault::lose_reply;
+}
+
+} // namespace
+
+void memory_store::set_faults(std::function<store_fault(std::uint64_t)> chosen) {
+    const std::lock_guard lock{mutex_};
+    faults_ = std::move(chosen);
+}
+
+void memory_store::set_fault(store_fault fault) {
+    set_faults([fault](std::uint64_t) { return fault; });
+    changed_.notify_all();
+}
+
+void memory_store::compact() {
+    const std::lock_guard lock{mutex_};
+    history_.clear();
+    compacted_ = revision_;
+}
+
+std::uint64_t memory_store::calls() const {
+    const std::lock_guard lock{mutex_};
+    return calls_;
+}
+
+std::uint64_t memory_store::writes() const {
+    const std::lock_guard lock{mutex_};
+    return writes_;
+}
+
+store_fault memory_store::begin_call() {
+    ++calls_;
+    expire_leases();
+    return faults_ ? faults_(calls_) : store_fault::none;
+}
+
+void memory_store::expire_leases() {
+    for (auto lease = leases_.begin(); lease != leases_.end();) {
+        if (lease->second.ends > time_.now()) {
+            ++lease;
+            continue;
+        }
+        std::vector<std::string> keys;
+        for (const auto& [key, held] : entries_) {
+            if (held.lease.value() == lease->first) {
+                keys.push_back(key);
+            }
+        }
+        for (const std::string& key : keys) {
+            erase_key(key);
+        }
+        lease = leases_.erase(lease);
+    }
+}
+
+void memory_store::erase_key(const std::string& key) {
+    ++revision_;
+    change erased;
+    erased.changed.key = key;
+    erased.changed.modified = revision{revision_};
+    erased.is_erased = true;
+    history_.push_back(std::move(erased));
+    entries_.erase(key);
+    changed_.notify_all();
+}
+
+bool memory_store::is_at(const std::string& key, revision expected) const {
+    const auto found = entries_.find(key);
+    const revision actual = found == entries_.end() ? revision{} : found->second.modified;
+    return actual == expected;
+}
+
+swap_outcome memory_store::refused(const std::string& key) const {
+    swap_outcome outcome;
+    outcome.at = revision{revision_};
+    const auto found = entries_.find(key);
+    if (found != entries_.end()) {
+        outcome.current = found->second;
+    }
+    return outcome;
+}
+
+result<std::optional<entry>> memory_store::get(const std::string& key) {
+    const std::lock_guard lock{mutex_};
+    if (begin_call() != store_fault::none) {
+        return failure(errc::unavailable);
+    }
+    const auto found = entries_.find(key);
+    if (found == entries_.end()) {
+        return std::optional<entry>{};
+    }
+    return std::optional<entry>{found->second};
+}
+
+result<listing> memory_store::list(const std::string& prefix) {
+    const std::lock_guard lock{mutex_};
+    if (begin_call() != store_fault::none) {
+        return failure(errc::unavailable);
+    }
+    listing listed;
+    listed.at = revision{revision_};
+    for (auto it = entries_.lower_bound(prefix); it != entries_.end(); ++it) {
+        if (!begins_with(it->first, prefix)) {
+            break;
+        }
+        listed.entries.push_back(it->second);
+    }
+    return listed;
+}
+
+result<swap_outcome> memory_store::swap(const std::string& key, revision expected,
+                                        const std::string& value, lease_id lease) {
+    const std::lock_guard lock{mutex_};
+    const store_fault fault = begin_call();
+    ++writes_;
+    if (!takes_effect(fault)) {
+        return failure(*write_error(fault));
+    }
+    if (!lease.empty() && leases_.find(lease.value()) == leases_.end()) {
+        return failure(errc::lease_expired);
+    }
+    swap_outcome outcome = refused(key);
+    if (is_at(key, expected)) {
+        ++revision_;
+        entry& written = entries_[key];
+        written.key = key;
+        written.value = value;
+        written.created = expected.empty() ? revision{revision_} : written.created;
+        written.modified = revision{revision_};
+        written.lease = lease;
+        history_.push_back({written, false});
+        changed_.notify_all();
+        outcome = {true, revision{revision_}, std::nullopt};
+    }
+    if (const auto error = write_error(fault)) {
+        return failure(*error);
+    }
+    return outcome;
+}
+
+result<swap_outcome> memory_store::erase(const std::string& key, revision expected) {
+    const std::lock_guard lock{mutex_};
+    const store_fault fault = begin_call();
+    ++writes_;
+    if (!takes_effect(fault)) {
+        return failure(*write_error(fault));
+    }
+    swap_outcome outcome = refused(key);
+    if (!expected.empty() && is_at(key, expected)) {
+        erase_key(key);
+        outcome = {true, revision{revision_}, std::nullopt};
+    }
+    if (const auto error = write_error(fault)) {
+        return failure(*error);
+    }
+    return outcome;
+}
+
+result<lease_id> memory_store::grant_lease(std::chrono::seconds time_to_live) {
+    const std::lock_guard lock{mutex_};
+    const store_fault fault = begin_call();
+    ++writes_;
+    if (const auto error = write_error(fault)) {
+        return failure(*error);
+    }
+    const std::uint64_t id = next_lease_++;
+    leases_[id] = {time_to_live, time_.now() + time_to_live};
+    return lease_id{id};
+}
+
+result<std::chrono::seconds> memory_store::keep_alive(lease_id lease) {
+    const std::lock_guard lock{mutex_};
+    const store_fault fault = begin_call();
+    ++writes_;
+    if (!takes_effect(fault)) {
+        return failure(*write_error(fault));
+    }
+    const auto found = leases_.find(lease.value());
+    if (found == leases_.end()) {
+        return failure(errc::lease_expired);
+    }
+    found->second.ends = time_.now() + found->second.time_to_live;
+    if (const auto error = write_error(fault)) {
+        return failure(*error);
+    }
+    return found->second.time_to_live;
+}
+
+result<void> memory_store::revoke_lease(lease_id lease) {
+    const std::lock_guard lock{mutex_};
+    const store_fault fault = begin_call();
+    ++writes_;
+    if (!takes_effect(fault)) {
+        return failure(*write_error(fault));
+    }
+    const auto found = leases_.find(lease.value());
+    if (found != leases_.end()) {
+        found->second.ends = time_.now();
+        expire_leases();
+    }
+    if (const auto error = write_error(fault)) {
+        return failure(*error);
+    }
+    return {};
+}
+
+change_batch memory_store::changes_since(const std::string& prefix, revision from) const {
+    change_batch batch;
+    batch.next = revision{revision_ + 1};
+    for (const change& past : history_) {
+        if (past.changed.modified >= from && begins_with(past.changed.key, prefix)) {
+            batch.changes.push_back(past);
+        }
+    }
+    return batch;
+}
+
+result<change_batch> memory_store::watch(const std::string& prefix, revision from,
+                                         std::chrono::milliseconds wait) {
+    std::unique_lock lock{mutex_};
+    if (begin_call() != store_fault::none) {
+        return failure(errc::unavailable);
+    }
+    if (from.value() <= compacted_) {
+        return failure(errc::compacted);
+    }
+    change_batch batch = changes_since(prefix, from);
+    if (batch.changes.empty() && wait.count() > 0) {
+        changed_.wait_for(lock, wait);
+        expire_leases();
+        batch = changes_since(prefix, from);
+    }
+    return batch;
+}
+
+} // namespace cicadahatch::test_support
--- /dev/null
+++ b/test/support/memory_store.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "cicadahatch/core"
+#include "cicadahatch/platform"
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <map>
+#include <mutex>
+
+namespace cicadahatch::test_support {
+
+/// \brief What the store does with the next calls.
+enum class store_fault {
+    none,
+    unavailable, ///< nothing takes effect, the error says so
+    lose_reply,  ///< writes take effect, their reply is lost
+    drop_request ///< nothing takes effect, but the error can't tell
+};
+
+/// \brief A key-value service in this process, with faults on demand. Leases follow the clock.
+class memory_store final : public platform::store {
+public:
+    explicit memory_store(const clock& time) : time_(time) {}
+
+    /// \param chosen called for each call with its ordinal number; decides the call's fault
+    void set_faults(std::function<store_fault(std::uint64_t)> chosen);
+    /// \brief Every call meets this fault until told otherwise.
+    void set_fault(store_fault fault);
+    /// \brief Forgets history up to the present, so that older watches get errc::compacted.
+    void compact();
+    [[nodiscard]] std::uint64_t calls() const;
+    [[nodiscard]] std::uint64_t writes() const;
+
+    [[nodiscard]] result<std::optional<platform::entry>> get(const std::string& key) override;
+    [[nodiscard]] result<platform::listing> list(const std::string& prefix) override;
+    [[nodiscard]] result<platform::swap_outcome> swap(const std::string& key, revision expected,
+                                                      const std::string& value,
+                                                      platform::lease_id lease) override;
+    [[nodiscard]] result<platform::swap_outcome> erase(const std::string& key,
+                                                       revision expected) override;
+    [[nodiscard]] result<platform::lease_id>
+    grant_lease(std::chrono::seconds time_to_live) override;
+    [[nodiscard]] result<std::chrono::seconds> keep_alive(platform::lease_id lease) override;
+    [[nodiscard]] result<void> revoke_lease(platform::lease_id lease) override;
+    [[nodiscard]] result<platform::change_batch> watch(const std::string& prefix, revision from,
+                                                       std::chrono::milliseconds wait) override;
+
+private:
+    struct lease_row {
+        std::chrono::seconds time_to_live{0};
+        time_point ends;
+    };
+
+    store_fault begin_call();
+    void expire_leases();
+    void erase_key(const std::string& key);
+    [[nodiscard]] platform::swap_outcome refused(const std::string& key) const;
+    [[nodiscard]] bool is_at(const std::string& key, revision expected) const;
+    [[nodiscard]] platform::change_batch changes_since(const std::string& prefix,
+                                                       revision from) const;
+
+    const clock& time_;
+    mutable std::mutex mutex_;
+    std::condition_variable changed_;
+    std::function<store_fault(std::uint64_t)> faults_;
+    std::map<std::string, platform::entry> entries_;
+    std::deque<platform::change> history_;
+    std::map<std::uint64_t, lease_row> leases_;
+    std::uint64_t revision_ = 1;
+    std::uint64_t compacted_ = 0;
+    std::uint64_t next_lease_ = 1;
+    std::uint64_t calls_ = 0;
+    std::uint64_t writes_ = 0;
+};
+
+} // namespace cicadahatch::test_support
