--- /dev/null
+++ b/src/rpc/messages.hpp
@@ -0,0 +1,232 @@
+#pragma once
+
+#include "src/core/identifiers.hpp"
+#include "src/http/endpoint.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cicadahatch::rpc {
+
+/// \brief Asks a cell's home for a grant. Durations count from the moment of arrival.
+struct acquire {
+    request_id request;
+    attempt_number attempt;
+    cell_id cell;
+    service_id service;
+    model_id model;
+    team_id team;
+    rank work_rank = rank::deferrable;
+    std::uint32_t prompt_tokens = 0;
+    std::uint32_t generated_tokens = 0; ///< tokens already sent to the caller by earlier attempts
+    std::uint32_t expected_output_tokens = 0;
+    std::chrono::microseconds first_token_within{};
+    std::chrono::microseconds between_tokens{};
+    std::vector<std::uint64_t> prefix_blocks;  ///< hashes of the prompt's leading blocks
+    std::vector<backend_id> excluded_backends; ///< failed for this request already
+};
+
+/// \brief The home's answer: what is reserved for the request.
+struct granted {
+    request_id request;
+    attempt_number attempt;
+    cell_id cell;
+    std::uint64_t grant = 0; ///< number of the grant, unique at its home
+    backend_id prefill_backend;
+    backend_id decode_backend;
+    std::uint32_t cached_tokens = 0;         ///< expected prefix already in the engine's memory
+    std::uint32_t kv_pieces = 0;             ///< engine memory reserved at the decode engine
+    std::chrono::microseconds start_after{}; ///< wait before the prefill is sent
+    std::chrono::microseconds valid_for{};   ///< then the reservation lapses unless started
+    std::chrono::microseconds predicted_first_token{};
+};
+
+/// \brief Why a home refuses a request; nothing of it has run there.
+enum class refusal_reason : std::uint8_t {
+    queue_full,
+    target_unreachable, ///< it could not meet its latency target
+    not_home,           ///< the daemon asked is not the home of that cell
+    registering,        ///< a new home that still collects the live grants
+    no_backend,
+    share_spent,
+    leaving
+};
+
+/// \brief The home's answer: no grant.
+struct refused {
+    request_id request;
+    attempt_number attempt;
+    cell_id cell;
+    refusal_reason reason = refusal_reason::queue_full;
+    std::chrono::milliseconds retry_after{};
+    daemon_id home; ///< with not_home: whom the refusing daemon takes for the home; may be empty
+};
+
+/// \brief Tells the home that the prefill is over and its result waits for the decode engine.
+struct prefill_finished {
+    request_id request;
+    attempt_number attempt;
+    cell_id cell;
+    std::chrono::microseconds took{};
+};
+
+/// \brief Tells the home that the decode engine has produced the first token.
+struct first_token {
+    request_id request;
+    attempt_number attempt;
+    cell_id cell;
+    std::chrono::microseconds since_grant{};
+};
+
+/// \brief How an attempt ended.
+enum class release_outcome : std::uint8_t { completed, failed_prefill, failed_decode, cancelled };
+
+/// \brief Gives a grant back.
+struct release {
+    request_id request;
+    attempt_number attempt;
+    cell_id cell;
+    release_outcome outcome = release_outcome::completed;
+    std::uint32_t output_tokens = 0;
+    std::chrono::microseconds between_tokens{}; ///< mean; zero if there were fewer than two
+};
+
+/// \brief The caller has left before there was an answer from the home.
+struct withdraw {
+    request_id request;
+    attempt_number attempt;
+    cell_id cell;
+};
+
+/// \brief How far a granted attempt has come.
+enum class grant_stage : std::uint8_t { granted, prefilling, transferring, decoding };
+
+/// \brief One live grant, as its holder or its home knows it.
+struct grant_record {
+    request_id request;
+    attempt_number attempt;
+    std::uint64_t grant = 0;
+    daemon_id holder; ///< the daemon that holds the caller
+    incarnation holder_incarnation;
+    service_id service;
+    team_id team;
+    rank work_rank = rank::deferrable;
+    grant_stage stage = grant_stage::granted;
+    backend_id prefill_backend;
+    backend_id decode_backend;
+    std::uint32_t prompt_tokens = 0;
+    std::uint32_t expected_output_tokens = 0;
+    std::uint32_t kv_pieces = 0;
+    std::chrono::milliseconds age{};
+};
+
+/// \brief Tells a new home all live grants that the sender holds in a cell.
+/// It is sent with an empty list too, so that the home knows the sender has answered.
+struct register_grants {
+    cell_id cell;
+    std::vector<grant_record> grants;
+    bool is_last = true; ///< no further message of this registration follows
+};
+
+/// \brief A home's changes since its last copy, sent to the next home in rendezvous order.
+struct copy_grants {
+    cell_id cell;
+    std::uint64_t sequence = 0; ///< grows by one with each copy of this home
+    bool is_whole = false;      ///< replaces everything copied before
+    std::vector<grant_record> added;
+    std::vector<request_id> removed;
+};
+
+/// \brief A home asks the daemons of its domain for their live grants in a cell.
+struct request_registration {
+    cell_id cell;
+};
+
+/// \brief What an owner says of itself, or others of it. See membership::is_newer().
+enum class member_status : std::uint8_t { alive, leaving, suspect, dead, left };
+
+/// \brief One member as it is spread.
+struct member_record {
+    daemon_id id;
+    domain_id domain;
+    http::endpoint place;
+    incarnation started;
+    std::uint64_t heartbeat = 0;
+    member_status status = member_status::alive;
+};
+
+/// \brief The newest heartbeat that the sender knows of a member.
+struct heartbeat_entry {
+    daemon_id id;
+    incarnation started;
+    std::uint64_t heartbeat = 0;
+};
+
+/// \brief How long ago a member of a domain was last known to be reached.
+struct domain_contact {
+    domain_id domain;
+    std::chrono::milliseconds age{};
+};
+
+/// \brief Kinds of values spread within a failure domain; the owner of a kind is a module above.
+enum class payload_kind : std::uint8_t {
+    leaving_backend,        ///< key: backend server; version: its incarnation
+    cell_digest,            ///< key: cell; version grows at the home
+    configuration_revision, ///< key: empty; version: revision
+    drain                   ///< key: what is drained; version grows with each change
+};
+
+/// \brief A spread value. Of two with one kind and key the higher version stays.
+struct payload {
+    payload_kind kind = payload_kind::cell_digest;
+    std::string key;
+    std::uint64_t version = 0;
+    std::string value; ///< opaque
+};
+
+/// \brief Heartbeat of the sender with the news that it passes on.
+struct gossip {
+    member_record self;
+    std::vector<heartbeat_entry> heartbeats;
+    std::vector<domain_contact> contacts;
+    std::vector<member_record> members;
+    std::vector<payload> payloads;
+};
+
+/// \brief Compares tables: the receiver answers with a sync_reply if its hash is another.
+struct sync_request {
+    member_record self;
+    std::uint64_t table_hash = 0;
+};
+
+/// \brief A part of the sender's tables.
+struct sync_reply {
+    std::uint64_t table_hash = 0;
+    bool wants_reply = false; ///< the receiver is asked for its tables in turn
+    std::vector<member_record> members;
+    std::vector<payload> payloads;
+};
+
+/// \brief Asks a peer for the accepted configuration, if it has a newer one.
+struct fetch_configuration {
+    revision newer_than;
+};
+
+/// \brief A piece of an accepted configuration.
+struct configuration_shard {
+    revision accepted;
+    std::string name;
+    std::uint32_t index = 0;
+    std::uint32_t count = 1; ///< shards of this revision
+    std::string value;       ///< opaque
+};
+
+/// \brief Any message. A message's number on the wire is its place here: append at the end only.
+using message = std::variant<acquire, granted, refused, prefill_finished, first_token, release,
+                             withdraw, register_grants, copy_grants, request_registration, gossip,
+                             sync_request, sync_reply, fetch_configuration, configuration_shard>;
+
+} // namespace cicadahatch::rpc
