--- a/test/support/memory_store.cpp
+++ b/test/support/memory_store.cpp
@@ -62,6 +62,16 @@
     return writes_;
 }
 
+std::optional<std::chrono::seconds> memory_store::time_left(lease_id lease) {
+    const std::lock_guard lock{mutex_};
+    expire_leases();
+    const auto found = leases_.find(lease.value());
+    if (found == leases_.end()) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<std::chrono::seconds>(found->second.ends - time_.now());
+}
+
 store_fault memory_store::begin_call() {
     ++calls_;
     expire_leases();
--- a/test/support/memory_store.hpp
+++ b/test/support/memory_store.hpp
@@ -32,6 +32,8 @@
     void compact();
     [[nodiscard]] std::uint64_t calls() const;
     [[nodiscard]] std::uint64_t writes() const;
+    /// \returns the time left, or nothing if the lease has ended
+    [[nodiscard]] std::optional<std::chrono::seconds> time_left(platform::lease_id lease);
 
     [[nodiscard]] result<std::optional<platform::entry>> get(const std::string& key) override;
     [[nodiscard]] result<platform::listing> list(const std::string& prefix) override;
