--- a/src/rpc/internal/message_fields.hpp
+++ b/src/rpc/internal/message_fields.hpp
@@ -28,9 +28,11 @@
                       &acquire::prompt_tokens,
                       &acquire::generated_tokens,
                       &acquire::expected_output_tokens,
-                      &acquire::first_token_within,
+                      &acquire::waited,
+                      &acquire::first_token,
                       &acquire::between_tokens,
-                      &acquire::prefix_blocks,
+                      &acquire::gives_up_after,
+                      &acquire::prefix_hashes,
                       &acquire::excluded_backends};
 }
 
@@ -41,11 +43,10 @@
                       &granted::grant,
                       &granted::prefill_backend,
                       &granted::decode_backend,
-                      &granted::cached_tokens,
+                      &granted::expected_cached_tokens,
                       &granted::kv_pieces,
-                      &granted::start_after,
-                      &granted::valid_for,
-                      &granted::predicted_first_token};
+                      &granted::predicted_first_token,
+                      &granted::predicted_between_tokens};
 }
 
 constexpr auto fields_of(tag<refused>) {
@@ -55,7 +56,8 @@
 
 constexpr auto fields_of(tag<prefill_finished>) {
     return std::tuple{&prefill_finished::request, &prefill_finished::attempt,
-                      &prefill_finished::cell, &prefill_finished::took};
+                      &prefill_finished::cell, &prefill_finished::cached_tokens,
+                      &prefill_finished::took};
 }
 
 constexpr auto fields_of(tag<first_token>) {
@@ -87,6 +89,7 @@
                       &grant_record::prompt_tokens,
                       &grant_record::expected_output_tokens,
                       &grant_record::kv_pieces,
+                      &grant_record::between_tokens,
                       &grant_record::age};
 }
 
@@ -152,7 +155,7 @@
     return refusal_reason::leaving;
 }
 constexpr auto last_enumerator(tag<release_outcome>) {
-    return release_outcome::cancelled;
+    return release_outcome::superseded;
 }
 constexpr auto last_enumerator(tag<grant_stage>) {
     return grant_stage::decoding;
--- a/src/rpc/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -23,10 +23,12 @@
     std::uint32_t prompt_tokens = 0;
     std::uint32_t generated_tokens = 0; ///< tokens already sent to the caller by earlier attempts
     std::uint32_t expected_output_tokens = 0;
-    std::chrono::microseconds first_token_within{};
-    std::chrono::microseconds between_tokens{};
-    std::vector<std::uint64_t> prefix_blocks;  ///< hashes of the prompt's leading blocks
-    std::vector<backend_id> excluded_backends; ///< failed for this request already
+    std::chrono::microseconds waited{};         ///< since the caller's request arrived
+    std::chrono::microseconds first_token{};    ///< target; zero takes the service's
+    std::chrono::microseconds between_tokens{}; ///< target; zero takes the service's
+    std::chrono::microseconds gives_up_after{}; ///< then the caller has left; zero: never
+    std::vector<std::uint64_t> prefix_hashes;   ///< each covers the prompt up to its block's end
+    std::vector<backend_id> excluded_backends;  ///< failed for this request already
 };
 
 /// \brief The home's answer: what is reserved for the request.
@@ -47,12 +49,16 @@
 /// \brief Why a home refuses a request; nothing of it has run there.
 enum class refusal_reason : std::uint8_t {
     queue_full,
-    target_unreachable, ///< it could not meet its latency target
-    not_home,           ///< the daemon asked is not the home of that cell
-    registering,        ///< a new home that still collects the live grants
-    no_backend,
-    share_spent,
-    leaving
+    target_unreachable,
+    deadline_passed,
+    too_large,
+    no_engine,
+    unknown_service,
+    duplicate_request,
+    retry_budget_spent,
+    registration_pending, ///< a new home that gathers the live grants
+    not_home,             ///< the daemon asked is not the home of that cell
+    leaving               ///< the daemon asked shuts down
 };
 
 /// \brief The home's answer: no grant.
@@ -70,6 +76,7 @@
     request_id request;
     attempt_number attempt;
     cell_id cell;
+    std::uint32_t cached_tokens = 0; ///< what the engine says it took from its cache
     std::chrono::microseconds took{};
 };
 
@@ -82,7 +89,13 @@
 };
 
 /// \brief How an attempt ended.
-enum class release_outcome : std::uint8_t { completed, failed_prefill, failed_decode, cancelled };
+enum class release_outcome : std::uint8_t {
+    completed,
+    caller_left,
+    prefill_failed,
+    decode_failed,
+    superseded ///< another attempt took its place
+};
 
 /// \brief Gives a grant back.
 struct release {
@@ -120,6 +133,7 @@
     std::uint32_t prompt_tokens = 0;
     std::uint32_t expected_output_tokens = 0;
     std::uint32_t kv_pieces = 0;
+    std::chrono::microseconds between_tokens{}; ///< target
     std::chrono::milliseconds age{};
 };
 
--- a/test/rpc/peer_link_test.cpp
+++ b/test/rpc/peer_link_test.cpp
@@ -74,7 +74,7 @@
     }
 
     static rpc::message numbered(std::uint64_t number) {
-        return rpc::granted{request_id{"r"}, {}, {}, number, {}, {}, 0, 0, {}, {}, {}};
+        return rpc::granted{request_id{"r"}, {}, {}, number, {}, {}, 0, 0, {}, {}};
     }
     static std::uint64_t number_of(const rpc::message& entry) {
         return std::get<rpc::granted>(entry).grant;
