--- a/src/rpc/internal/message_fields.hpp
+++ b/src/rpc/internal/message_fields.hpp
@@ -29,8 +29,8 @@
                       &acquire::generated_tokens,
                       &acquire::expected_output_tokens,
                       &acquire::waited,
-                      &acquire::first_token,
-                      &acquire::between_tokens,
+                      &acquire::first_token_target,
+                      &acquire::between_tokens_target,
                       &acquire::gives_up_after,
                       &acquire::prefix_hashes,
                       &acquire::excluded_backends};
@@ -89,7 +89,7 @@
                       &grant_record::prompt_tokens,
                       &grant_record::expected_output_tokens,
                       &grant_record::kv_pieces,
-                      &grant_record::between_tokens,
+                      &grant_record::between_tokens_target,
                       &grant_record::age};
 }
 
--- a/src/rpc/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -23,12 +23,12 @@
     std::uint32_t prompt_tokens = 0;
     std::uint32_t generated_tokens = 0; ///< tokens already sent to the caller by earlier attempts
     std::uint32_t expected_output_tokens = 0;
-    std::chrono::microseconds waited{};         ///< since the caller's request arrived
-    std::chrono::microseconds first_token{};    ///< target; zero takes the service's
-    std::chrono::microseconds between_tokens{}; ///< target; zero takes the service's
-    std::chrono::microseconds gives_up_after{}; ///< then the caller has left; zero: never
-    std::vector<std::uint64_t> prefix_hashes;   ///< each covers the prompt up to its block's end
-    std::vector<backend_id> excluded_backends;  ///< failed for this request already
+    std::chrono::microseconds waited{};                ///< since the caller's request arrived
+    std::chrono::microseconds first_token_target{};    ///< zero takes the service's
+    std::chrono::microseconds between_tokens_target{}; ///< zero takes the service's
+    std::chrono::microseconds gives_up_after{};        ///< then the caller has left; zero: never
+    std::vector<std::uint64_t> prefix_hashes;  ///< each covers the prompt up to its block's end
+    std::vector<backend_id> excluded_backends; ///< failed for this request already
 };
 
 /// \brief The home's answer: what is reserved for the request.
@@ -39,11 +39,10 @@
     std::uint64_t grant = 0; ///< number of the grant, unique at its home
     backend_id prefill_backend;
     backend_id decode_backend;
-    std::uint32_t cached_tokens = 0;         ///< expected prefix already in the engine's memory
-    std::uint32_t kv_pieces = 0;             ///< engine memory reserved at the decode engine
-    std::chrono::microseconds start_after{}; ///< wait before the prefill is sent
-    std::chrono::microseconds valid_for{};   ///< then the reservation lapses unless started
-    std::chrono::microseconds predicted_first_token{};
+    std::uint32_t expected_cached_tokens = 0; ///< prefix in the prefill engine's memory
+    std::uint32_t kv_pieces = 0;              ///< engine memory reserved at the decode engine
+    std::chrono::microseconds predicted_first_token{}; ///< from the request's arrival
+    std::chrono::microseconds predicted_between_tokens{};
 };
 
 /// \brief Why a home refuses a request; nothing of it has run there.
@@ -133,7 +132,7 @@
     std::uint32_t prompt_tokens = 0;
     std::uint32_t expected_output_tokens = 0;
     std::uint32_t kv_pieces = 0;
-    std::chrono::microseconds between_tokens{}; ///< target
+    std::chrono::microseconds between_tokens_target{};
     std::chrono::milliseconds age{};
 };
 
