--- a/src/rpc/internal/message_fields.hpp
+++ b/src/rpc/internal/message_fields.hpp
@@ -124,8 +124,8 @@
 }
 
 constexpr auto fields_of(tag<gossip>) {
-    return std::tuple{&gossip::self, &gossip::heartbeats, &gossip::contacts, &gossip::members,
-                      &gossip::payloads};
+    return std::tuple{&gossip::self,    &gossip::heartbeats, &gossip::contacts,
+                      &gossip::members, &gossip::payloads,   &gossip::table_hash};
 }
 
 constexpr auto fields_of(tag<sync_request>) {
@@ -164,7 +164,7 @@
     return member_status::left;
 }
 constexpr auto last_enumerator(tag<payload_kind>) {
-    return payload_kind::drain;
+    return payload_kind::domain_digest;
 }
 
 template <class T>
--- a/src/rpc/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -184,12 +184,14 @@
     std::chrono::milliseconds age{};
 };
 
-/// \brief Kinds of values spread within a failure domain; the owner of a kind is a module above.
+/// \brief Kinds of values spread among daemons; the owner of a kind is a module above.
+/// Cell digests stay within their failure domain, the others reach all domains.
 enum class payload_kind : std::uint8_t {
     leaving_backend,        ///< key: backend server; version: its incarnation
     cell_digest,            ///< key: cell; version grows at the home
     configuration_revision, ///< key: empty; version: revision
-    drain                   ///< key: what is drained; version grows with each change
+    drain,                  ///< key: what is drained; version grows with each change
+    domain_digest           ///< key: failure domain and model; spread to all domains
 };
 
 /// \brief A spread value. Of two with one kind and key the higher version stays.
@@ -207,17 +209,18 @@
     std::vector<domain_contact> contacts;
     std::vector<member_record> members;
     std::vector<payload> payloads;
+    std::uint32_t table_hash = 0; ///< with heartbeats, else zero
 };
 
 /// \brief Compares tables: the receiver answers with a sync_reply if its hash is another.
 struct sync_request {
     member_record self;
-    std::uint64_t table_hash = 0;
+    std::uint32_t table_hash = 0;
 };
 
 /// \brief A part of the sender's tables.
 struct sync_reply {
-    std::uint64_t table_hash = 0;
+    std::uint32_t table_hash = 0;
     bool wants_reply = false; ///< the receiver is asked for its tables in turn
     std::vector<member_record> members;
     std::vector<payload> payloads;
--- a/src/rpc/peer_link.cpp
+++ b/src/rpc/peer_link.cpp
@@ -173,12 +173,16 @@
     state_->sender = std::thread([running = state_.get()] { running->run(); });
 }
 
-peer_link::~peer_link() {
+void peer_link::begin_close() {
     {
         const std::lock_guard lock{state_->mutex};
         state_->is_stopping = true;
     }
     state_->changed.notify_all();
+}
+
+peer_link::~peer_link() {
+    begin_close();
     state_->sender.join();
     std::vector<message> waiting{state_->outbox.begin(), state_->outbox.end()};
     state_->report_loss(std::move(waiting), errc::link_closed);
--- a/src/rpc/peer_link.hpp
+++ b/src/rpc/peer_link.hpp
@@ -47,6 +47,9 @@
     /// \returns when the last message was queued
     [[nodiscard]] std::chrono::steady_clock::time_point last_use() const;
 
+    /// \brief Tells the link's thread to end; the destructor then waits for it.
+    void begin_close();
+
     /// \brief Queues a message.
     /// \returns errc::outbox_full if too many wait, errc::too_large if it can't travel
     [[nodiscard]] result<void> send(message sent, urgency how = urgency::prompt);
--- a/src/rpc/peer_links.cpp
+++ b/src/rpc/peer_links.cpp
@@ -3,7 +3,24 @@
 namespace cicadahatch::rpc {
 
 peer_links::peer_links(peer_link_builder prototype, peer_loss_handler on_loss)
-    : prototype_(std::move(prototype)), on_loss_(std::move(on_loss)) {}
+    : prototype_(std::move(prototype)), on_loss_(std::move(on_loss)) {
+    reaper_ = std::thread{[this] { reap(); }};
+}
+
+peer_links::~peer_links() {
+    std::vector<std::shared_ptr<peer_link>> closing;
+    {
+        const std::lock_guard lock{mutex_};
+        is_stopping_ = true;
+        for (auto& [key, link] : links_) {
+            link->begin_close();
+            closing.push_back(std::move(link));
+        }
+        links_.clear();
+    }
+    changed_.notify_all();
+    reaper_.join();
+}
 
 result<void> peer_links::send(const daemon_id& peer, const http::endpoint& place, message sent,
                               urgency how) {
@@ -56,15 +73,27 @@
     retire(std::move(closing));
 }
 
-/// Destroying a link waits for its thread, so it happens outside the lock.
+/// Destroying a link waits for its thread, which may be trying to connect; another thread does it.
 void peer_links::retire(std::vector<std::shared_ptr<peer_link>> closing) {
-    traffic sum;
-    for (const auto& link : closing) {
-        sum = sum + link->carried();
-    }
-    closing.clear();
     const std::lock_guard lock{mutex_};
-    closed_ = closed_ + sum;
+    for (std::shared_ptr<peer_link>& link : closing) {
+        link->begin_close();
+        closed_ = closed_ + link->carried();
+        retired_.push_back(std::move(link));
+    }
+    changed_.notify_all();
+}
+
+void peer_links::reap() {
+    std::unique_lock lock{mutex_};
+    while (!is_stopping_ || !retired_.empty()) {
+        changed_.wait(lock, [this] { return is_stopping_ || !retired_.empty(); });
+        std::vector<std::shared_ptr<peer_link>> ending = std::move(retired_);
+        retired_.clear();
+        lock.unlock();
+        ending.clear();
+        lock.lock();
+    }
 }
 
 traffic peer_links::carried() const {
--- a/src/rpc/peer_links.hpp
+++ b/src/rpc/peer_links.hpp
@@ -2,10 +2,13 @@
 
 #include "src/rpc/peer_link.hpp"
 
+#include <condition_variable>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <thread>
+#include <vector>
 
 namespace cicadahatch::rpc {
 
@@ -19,12 +22,19 @@
     /// \param prototype a builder with sender, secret, TLS and delays set
     /// \param on_loss may be empty
     explicit peer_links(peer_link_builder prototype, peer_loss_handler on_loss = {});
+    peer_links(const peer_links&) = delete;
+    peer_links& operator=(const peer_links&) = delete;
+    peer_links(peer_links&&) = delete;
+    peer_links& operator=(peer_links&&) = delete;
+    /// Waits for all links to end.
+    ~peer_links();
 
     /// \brief Queues a message for a peer. A peer seen at a new place gets a new link.
     [[nodiscard]] result<void> send(const daemon_id& peer, const http::endpoint& place,
                                     message sent, urgency how = urgency::prompt);
 
-    /// \brief Closes the link to a peer that has died; what waits for it is reported as lost.
+    /// \brief Closes the link to a peer that has died, without waiting; what waits for it is
+    /// reported as lost.
     void close(const daemon_id& peer);
 
     /// \brief Closes the links that were not used for a while.
@@ -41,12 +51,17 @@
     [[nodiscard]] std::shared_ptr<peer_link> link_to(const daemon_id& peer,
                                                      const http::endpoint& place);
     void retire(std::vector<std::shared_ptr<peer_link>> closing);
+    void reap();
 
     peer_link_builder prototype_;
     peer_loss_handler on_loss_;
     mutable std::mutex mutex_;
+    std::condition_variable changed_;
     std::map<link_key, std::shared_ptr<peer_link>> links_;
+    std::vector<std::shared_ptr<peer_link>> retired_;
     traffic closed_;
+    bool is_stopping_ = false;
+    std::thread reaper_;
 };
 
 } // namespace cicadahatch::rpc
