scheduling: lay the cell's tables, inputs and systems

Cause: callers need a decision per request that reserves prefill, link, decode slot and memory as one. Change: interface and first whole version: tables, fair queues by rank, service and team in engine seconds, prediction, early refusal, joint reservation, health, cache view, homes.

--- /dev/null
+++ b/src/scheduling/cell_choice.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "src/core/random.hpp"
+#include "src/scheduling/cell_policy.hpp"
+#include "src/scheduling/cell_state.hpp"
+
+#include <array>
+#include <optional>
+#include <vector>
+
+namespace cicadahatch::scheduling {
+
+/// \brief A cell's load in few bytes, gossiped between daemons.
+struct cell_digest {
+    cell_id id;
+    domain_id domain;
+    model_id model;
+    std::array<duration, rank_count> predicted_wait{}; ///< of a new request, by rank
+    duration typical_minimum{0}; ///< time to first token of a typical request on an idle cell
+    bool takes_work = true;
+    time_point taken_at; ///< on the receiver's clock
+};
+
+/// \returns the digest of a cell as of its last tick
+[[nodiscard]] cell_digest make_digest(const cell_state& state, const domain_id& domain,
+                                      time_point now);
+
+/// \brief Where a request is sent.
+struct cell_target {
+    cell_id cell;
+    bool is_spilled = false; ///< outside the daemon's own failure domain
+};
+
+/// \brief What the choice depends on.
+struct choice_request {
+    model_id model;
+    cicadahatch::rank rank = cicadahatch::rank::deferrable;
+    duration first_token{0};     ///< target
+    duration elapsed{0};         ///< since the request's arrival
+    duration domain_distance{0}; ///< added to the time to first token in another domain
+};
+
+/// \brief Chooses the cell to ask: of two random cells of the daemon's own domain the one with
+/// the shorter wait; if the target can't be met there, the better of two of other domains, but
+/// only if it is met there.
+/// \returns nothing if no cell of the model takes work
+[[nodiscard]] std::optional<cell_target> choose_cell(const std::vector<cell_digest>& digests,
+                                                     const domain_id& own,
+                                                     const choice_request& request,
+                                                     random_source& random);
+
+} // namespace cicadahatch::scheduling
--- /dev/null
+++ b/src/scheduling/cell_inputs.cpp
@@ -0,0 +1,323 @@
+#include "src/scheduling/cell_inputs.hpp"
+
+#include "src/scheduling/internal/cache_view.hpp"
+#include "src/scheduling/internal/engine_health.hpp"
+#include "src/scheduling/internal/fair_queue.hpp"
+#include "src/scheduling/internal/learn.hpp"
+#include "src/scheduling/internal/prediction.hpp"
+#include "src/scheduling/internal/refuse.hpp"
+#include "src/scheduling/internal/reservation.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cicadahatch::scheduling {
+
+namespace {
+
+constexpr double smallest_share = 1e-6;
+
+const rank_spec& rules_of(const service_spec& service, rank of) {
+    return of == rank::urgent ? service.urgent : service.deferrable;
+}
+
+bool fits_somewhere(const cell_state& state, const cell_policy& policy, const request_spec& spec) {
+    const auto& engines = state.engines.rows();
+    const bool has_holder = std::any_of(engines.begin(), engines.end(), [](const engine& on) {
+        return on.spec.role != backend_role::prefill;
+    });
+    return !has_holder || std::any_of(engines.begin(), engines.end(), [&](const engine& on) {
+        const std::uint32_t needed = internal::pieces_needed(on, policy, spec);
+        return on.spec.role != backend_role::prefill &&
+               (on.spec.pieces == 0 || needed <= on.spec.pieces);
+    });
+}
+
+void fill_targets(request_spec& spec, const service_spec& service) {
+    const rank_spec& rules = rules_of(service, spec.rank);
+    if (spec.first_token == duration::zero()) {
+        spec.first_token = rules.first_token;
+    }
+    if (spec.between_tokens == duration::zero()) {
+        spec.between_tokens = rules.between_tokens;
+    }
+}
+
+/// Refuses waiting requests of services that are no longer listed.
+void refuse_unlisted(cell_state& state) {
+    std::vector<request_id> orphans;
+    for (const waiting_request& request : state.waiting.rows()) {
+        if (!state.services.contains(request.spec.service)) {
+            orphans.push_back(request.id);
+        }
+    }
+    for (const request_id& orphan : orphans) {
+        internal::refuse(state, orphan, errc::unknown_service, duration::zero());
+    }
+}
+
+void set_rank_services(cell_state& state, rank of, const std::vector<service_spec>& services) {
+    rank_queue& queue = state.ranks[rank_index(of)];
+    queue.floor = 0;
+    for (const service_spec& service : services) {
+        const rank_spec& rules = rules_of(service, of);
+        queue.floor = std::max(queue.floor, rules.floor);
+        service_queue* known = queue.services.find(service.id);
+        if (known == nullptr) {
+            service_queue added;
+            added.id = service.id;
+            known = &queue.services.insert(std::move(added));
+        }
+        known->share = std::max(rules.share, smallest_share);
+    }
+    queue.services.erase_if(
+        [&](const service_queue& known) { return !state.services.contains(known.id); });
+}
+
+/// A stream of the engine that the cell's grants account for at the time of a report.
+std::uint32_t own_streams_at(const engine& on, time_point taken_at) {
+    const auto is_later = [&](time_point event) { return event > taken_at; };
+    const auto ends = std::count_if(on.recent_ends.begin(), on.recent_ends.end(), is_later);
+    const auto begins = std::count_if(on.recent_begins.begin(), on.recent_begins.end(), is_later);
+    const std::int64_t own = std::int64_t{on.streams} + ends - begins;
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(own, on.streams));
+}
+
+/// A new incarnation holds nothing of what the former one held.
+void free_grants_of(cell_state& state, const backend_id& backend, time_point now) {
+    std::vector<request_id> lost;
+    for (const live_grant& held : state.grants.rows()) {
+        const bool is_prefilled = held.stage == stage::decode;
+        if (held.issued.decode == backend || (held.issued.prefill == backend && !is_prefilled)) {
+            lost.push_back(held.id);
+        }
+    }
+    for (const request_id& request : lost) {
+        internal::free_grant(state, request, now);
+    }
+}
+
+void restart_engine(engine& known, const engine_spec& spec) {
+    const backend_id id = known.id;
+    known = engine{};
+    known.id = id;
+    known.spec = spec;
+}
+
+} // namespace
+
+void set_links(cell_state& state, const std::vector<link_spec>& links) {
+    table<link_id, link> listed;
+    for (const link_spec& spec : links) {
+        const link* known = state.links.find(spec.id);
+        const time_point free_at = known == nullptr ? time_point{} : known->free_at;
+        listed.insert({spec.id, spec.bytes_per_second, free_at});
+    }
+    state.links = std::move(listed);
+}
+
+void set_engines(cell_state& state, const std::vector<engine_spec>& engines, time_point now) {
+    std::set<backend_id> listed;
+    for (const engine_spec& spec : engines) {
+        listed.insert(spec.id);
+        engine* known = state.engines.find(spec.id);
+        if (known == nullptr) {
+            engine added;
+            added.id = spec.id;
+            added.spec = spec;
+            state.engines.insert(std::move(added));
+        } else if (known->spec.started != spec.started) {
+            free_grants_of(state, spec.id, now);
+            restart_engine(*known, spec);
+        } else {
+            known->spec = spec;
+        }
+    }
+    for (engine& on : state.engines.rows()) {
+        on.is_unlisted = !listed.contains(on.id);
+        on.is_leaving = on.is_leaving || on.is_unlisted;
+    }
+}
+
+void set_services(cell_state& state, const std::vector<service_spec>& services) {
+    state.services.clear();
+    for (const service_spec& service : services) {
+        state.services.insert(service);
+    }
+    refuse_unlisted(state);
+    set_rank_services(state, rank::urgent, services);
+    set_rank_services(state, rank::deferrable, services);
+}
+
+result<void> submit(cell_state& state, const cell_policy& policy, request_spec spec,
+                    time_point now) {
+    const service_spec* service = state.services.find(spec.service);
+    if (service == nullptr) {
+        return failure(errc::unknown_service);
+    }
+    if (state.waiting.contains(spec.id) || state.grants.contains(spec.id)) {
+        return failure(errc::duplicate_request);
+    }
+    if (!fits_somewhere(state, policy, spec)) {
+        return failure(errc::too_large);
+    }
+    fill_targets(spec, *service);
+    spec.arrived = std::min(spec.arrived, now);
+    waiting_request request;
+    request.id = spec.id;
+    request.spec = std::move(spec);
+    request.serial = state.next_serial++;
+    internal::predict_request(state, policy, request);
+    state.arrivals.push_back(request.id);
+    internal::enqueue(state, std::move(request));
+    return {};
+}
+
+std::optional<grant> withdraw(cell_state& state, const request_id& request, time_point now) {
+    if (state.waiting.contains(request)) {
+        internal::dequeue(state, request);
+        return std::nullopt;
+    }
+    if (!state.grants.contains(request)) {
+        return std::nullopt;
+    }
+    return internal::free_grant(state, request, now).issued;
+}
+
+std::vector<grant> withdraw_owner(cell_state& state, const daemon_id& owner, time_point now) {
+    std::vector<request_id> requests;
+    for (const waiting_request& request : state.waiting.rows()) {
+        if (request.spec.owner == owner) {
+            requests.push_back(request.id);
+        }
+    }
+    for (const live_grant& held : state.grants.rows()) {
+        if (held.issued.owner == owner) {
+            requests.push_back(held.id);
+        }
+    }
+    std::vector<grant> freed;
+    for (const request_id& request : requests) {
+        if (auto released = withdraw(state, request, now)) {
+            freed.push_back(std::move(*released));
+        }
+    }
+    std::erase_if(state.pending_refusals,
+                  [&](const refusal& pending) { return pending.owner == owner; });
+    state.unregistered.erase(owner);
+    return freed;
+}
+
+void renew_owner(cell_state& state, const daemon_id& owner, time_point now) {
+    for (live_grant& held : state.grants.rows()) {
+        if (held.issued.owner == owner) {
+            held.heard_at = now;
+        }
+    }
+}
+
+void prefill_finished(cell_state& state, const request_id& request, std::uint32_t cached_tokens,
+                      time_point now) {
+    live_grant* held = state.grants.find(request);
+    if (held == nullptr || held->stage != stage::prefill) {
+        return;
+    }
+    held->heard_at = now;
+    internal::learn_prefill(state, *held, cached_tokens, now);
+    internal::end_prefill(state, *held, now);
+    internal::note_success(state, held->issued.prefill);
+}
+
+void first_token(cell_state& state, const request_id& request, time_point now) {
+    live_grant* held = state.grants.find(request);
+    if (held == nullptr) {
+        return;
+    }
+    held->heard_at = now;
+    internal::begin_decode(state, *held, now);
+}
+
+void release(cell_state& state, const cell_policy& policy, const request_id& request, outcome ended,
+             std::uint32_t output_tokens, time_point now) {
+    const live_grant* held = state.grants.find(request);
+    if (held == nullptr) {
+        return;
+    }
+    if (ended == outcome::completed) {
+        internal::learn_stream(state, *held, output_tokens, now);
+        internal::note_success(state, held->issued.decode);
+    }
+    const live_grant freed = internal::free_grant(state, request, now);
+    if (ended == outcome::prefill_failed) {
+        internal::note_failure(state, policy, freed.issued.prefill, now);
+    }
+    if (ended == outcome::decode_failed) {
+        internal::note_failure(state, policy, freed.issued.decode, now);
+    }
+}
+
+void ingest_load(cell_state& state, const load_report& report, time_point now) {
+    engine* on = state.engines.find(report.backend);
+    if (on == nullptr || on->spec.started != report.started) {
+        return;
+    }
+    on->is_leaving = on->is_leaving || report.is_leaving;
+    if (report.sequence <= on->report_sequence) {
+        return;
+    }
+    on->report_sequence = report.sequence;
+    if (now - report.taken_at > stream_memory) {
+        return;
+    }
+    const std::uint32_t own = own_streams_at(*on, report.taken_at);
+    on->foreign_streams = report.running > own ? report.running - own : 0;
+    // Memory can't be told apart while streams of ours began or ended since the report.
+    const bool is_mixed = own != on->streams;
+    if (!is_mixed) {
+        on->foreign_pieces =
+            report.used_pieces > on->reserved_pieces ? report.used_pieces - on->reserved_pieces : 0;
+    }
+    const time_point backlog_end = report.taken_at + report.prefill_backlog;
+    on->foreign_prefill_until = on->prefills == 0 ? backlog_end : time_point{};
+}
+
+bool ingest_cache_events(cell_state& state, const cell_policy& policy,
+                         const cache_event_batch& batch) {
+    engine* on = state.engines.find(batch.backend);
+    if (on == nullptr || on->spec.started != batch.started) {
+        return true;
+    }
+    return internal::apply_cache_events(*on, policy, batch);
+}
+
+void mark_leaving(cell_state& state, const backend_id& backend) {
+    engine* on = state.engines.find(backend);
+    if (on != nullptr) {
+        on->is_leaving = true;
+    }
+}
+
+void begin_home(cell_state& state, const std::vector<daemon_id>& expected, time_point now) {
+    state.home_since = now;
+    state.unregistered = {expected.begin(), expected.end()};
+}
+
+void register_grant(cell_state& state, const live_grant& held, time_point now) {
+    if (state.grants.contains(held.id)) {
+        return;
+    }
+    if (state.waiting.contains(held.id)) {
+        internal::dequeue(state, held.id);
+    }
+    live_grant taken = held;
+    taken.heard_at = now;
+    taken.stuck_at = now + (held.stuck_at - held.granted_at);
+    state.next_grant_number = std::max(state.next_grant_number, held.issued.number + 1);
+    internal::reserve(state, std::move(taken), now);
+}
+
+void registration_finished(cell_state& state, const daemon_id& owner) {
+    state.unregistered.erase(owner);
+}
+
+} // namespace cicadahatch::scheduling
--- /dev/null
+++ b/src/scheduling/internal/engine_health.cpp
@@ -0,0 +1,115 @@
+#include "src/scheduling/internal/engine_health.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace cicadahatch::scheduling::internal {
+
+namespace {
+
+constexpr std::uint32_t largest_backoff_exponent = 10;
+
+/// Ejecting more than a part of a role would turn a common cause into an outage.
+bool may_eject(const cell_state& state, const cell_policy& policy, backend_role role) {
+    std::size_t all = 0;
+    std::size_t ejected = 0;
+    for (const engine& other : state.engines.rows()) {
+        if (other.spec.role == role && !other.is_leaving) {
+            ++all;
+            ejected += other.health == health::healthy ? 0U : 1U;
+        }
+    }
+    const auto share =
+        static_cast<std::size_t>(std::floor(policy.ejection_share * static_cast<double>(all)));
+    return all >= 2 && ejected < std::max<std::size_t>(share, 1);
+}
+
+void eject(engine& on, const cell_policy& policy, time_point now) {
+    const std::uint32_t exponent = std::min(on.ejections_in_row, largest_backoff_exponent);
+    const duration wait = policy.ejection_base * (1U << exponent);
+    on.health = health::ejected;
+    on.ejected_until = now + std::min(wait, policy.ejection_longest);
+    on.failures_in_row = 0;
+    ++on.ejections_in_row;
+}
+
+double slowness(const engine& on) noexcept {
+    return on.spec.role == backend_role::prefill ? on.prefill_scale : on.step_scale;
+}
+
+double median_slowness(const cell_state& state, backend_role role) {
+    std::vector<double> all;
+    for (const engine& on : state.engines.rows()) {
+        if (on.spec.role == role && !on.is_leaving) {
+            all.push_back(slowness(on));
+        }
+    }
+    if (all.empty()) {
+        return 1;
+    }
+    // The lower of two middle values, so that one slow engine of two is seen as slow.
+    const auto middle = all.begin() + static_cast<std::ptrdiff_t>((all.size() - 1) / 2);
+    std::nth_element(all.begin(), middle, all.end());
+    return *middle;
+}
+
+void eject_slow(cell_state& state, const cell_policy& policy, backend_role role, time_point now) {
+    const double limit = median_slowness(state, role) * policy.slow_factor;
+    for (engine& on : state.engines.rows()) {
+        const bool is_slow = on.spec.role == role && takes_work(on) && slowness(on) > limit;
+        if (is_slow && may_eject(state, policy, role)) {
+            eject(on, policy, now);
+            // The probe after the ejection is judged on its own.
+            on.prefill_scale = 1;
+            on.step_scale = 1;
+        }
+    }
+}
+
+} // namespace
+
+bool takes_work(const engine& on) noexcept {
+    if (on.is_leaving || on.health == health::ejected) {
+        return false;
+    }
+    return on.health == health::healthy || on.prefills + on.streams == 0;
+}
+
+void note_failure(cell_state& state, const cell_policy& policy, const backend_id& backend,
+                  time_point now) {
+    engine* on = state.engines.find(backend);
+    if (on == nullptr || on->health == health::ejected) {
+        return;
+    }
+    ++on->failures_in_row;
+    const bool has_failed_probe = on->health == health::probing;
+    if (has_failed_probe || (on->failures_in_row >= policy.ejection_failures &&
+                             may_eject(state, policy, on->spec.role))) {
+        eject(*on, policy, now);
+    }
+}
+
+void note_success(cell_state& state, const backend_id& backend) {
+    engine* on = state.engines.find(backend);
+    if (on == nullptr || on->health == health::ejected) {
+        return;
+    }
+    on->failures_in_row = 0;
+    if (on->health == health::probing) {
+        on->health = health::healthy;
+        on->ejections_in_row = 0;
+    }
+}
+
+void review_health(cell_state& state, const cell_policy& policy, time_point now) {
+    for (engine& on : state.engines.rows()) {
+        if (on.health == health::ejected && now >= on.ejected_until) {
+            on.health = health::probing;
+        }
+    }
+    eject_slow(state, policy, backend_role::prefill, now);
+    eject_slow(state, policy, backend_role::decode, now);
+}
+
+} // namespace cicadahatch::scheduling::internal
--- /dev/null
+++ b/src/scheduling/internal/prediction.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "src/scheduling/cell_policy.hpp"
+#include "src/scheduling/cell_state.hpp"
+
+namespace cicadahatch::scheduling::internal {
+
+[[nodiscard]] constexpr double to_seconds(duration value) noexcept {
+    return std::chrono::duration<double>(value).count();
+}
+
+[[nodiscard]] constexpr duration from_seconds(double value) noexcept {
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(value));
+}
+
+/// \returns the predicted time of one prefill of so many uncached tokens on an idle engine
+[[nodiscard]] double prefill_seconds(const engine& on, std::uint32_t tokens) noexcept;
+
+/// \returns the predicted time between tokens of a batch of so many streams
+[[nodiscard]] double step_seconds(const engine& on, std::uint32_t streams) noexcept;
+
+/// \returns the predicted time of a KV transfer on links that carry nothing else
+[[nodiscard]] double transfer_seconds(const cell_state& state, const engine& from, const engine& to,
+                                      std::uint32_t tokens);
+
+/// \returns KV memory of prompt and answer at their largest, in pieces of the engine
+[[nodiscard]] std::uint32_t pieces_needed(const engine& on, const cell_policy& policy,
+                                          const request_spec& spec) noexcept;
+
+/// \returns the longest time to first token that the request is worth running for. A request
+/// whose target can't be met even by an idle cell is run as well as may be.
+[[nodiscard]] duration usable_target(const waiting_request& request, const cell_policy& policy);
+
+/// \returns engine seconds: a whole engine for the prefill, a slot's part of one for the decode
+[[nodiscard]] double engine_seconds(const cell_state& state, double prefill_seconds,
+                                    double slot_seconds) noexcept;
+
+/// \returns the engine seconds that the request is expected to cost
+[[nodiscard]] double expected_cost(const cell_state& state,
+                                   const waiting_request& request) noexcept;
+
+/// \returns the engine seconds that a rank's floor earns in a second
+[[nodiscard]] double owed_rate(const cell_state& state, const cell_policy& policy,
+                               const rank_queue& queue) noexcept;
+
+/// \returns the most that a rank can be owed, so that a pause can't turn into a long monopoly
+[[nodiscard]] double largest_credit(const cell_state& state, const cell_policy& policy,
+                                    const rank_queue& queue) noexcept;
+
+/// \brief Writes the predictions that depend on the cell's typical engine.
+void predict_request(const cell_state& state, const cell_policy& policy, waiting_request& request);
+
+/// \returns the predicted time until a new request of this rank would be granted
+/// \param team_ahead work of the same team waiting before it
+/// \param team_part part of the rank's service that the team gets
+[[nodiscard]] double predicted_wait_seconds(const cell_state& state, rank of,
+                                            const work_amount& team_ahead, double team_part);
+
+} // namespace cicadahatch::scheduling::internal
--- /dev/null
+++ b/src/scheduling/request.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "src/core/clock.hpp"
+#include "src/core/identifiers.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace cicadahatch::scheduling {
+
+/// \brief What a daemon asks a cell for.
+struct request_spec {
+    request_id id;
+    daemon_id owner; ///< the daemon that holds the caller
+    service_id service;
+    model_id model;
+    team_id team;
+    cicadahatch::rank rank = cicadahatch::rank::deferrable;
+    std::uint32_t prompt_tokens = 0;
+    std::uint32_t expected_output_tokens = 0;
+    /// Hashes of the prompt's prefixes, one per prefix_block_tokens, each covering all before it.
+    std::vector<std::uint64_t> prefix_hashes;
+    time_point arrived;
+    duration first_token{0};    ///< target; zero takes the service's
+    duration between_tokens{0}; ///< target; zero takes the service's
+    time_point deadline;        ///< when the caller gives up; the epoch means never
+};
+
+/// \brief A request in the queue of its cell.
+struct waiting_request {
+    request_id id;
+    request_spec spec;
+    std::uint64_t serial = 0;   ///< order of arrival at the cell
+    double prefill_seconds = 0; ///< predicted without cached prefix
+    double slot_seconds = 0;    ///< predicted time in a decode slot
+    duration minimum_time{0};   ///< predicted time to first token on an idle cell
+    time_point latest_start;    ///< a later start misses the target
+};
+
+} // namespace cicadahatch::scheduling
--- /dev/null
+++ b/src/scheduling/role_change.cpp
@@ -0,0 +1,62 @@
+#include "src/scheduling/role_change.hpp"
+
+#include <algorithm>
+
+namespace cicadahatch::scheduling {
+
+namespace {
+
+backend_role pressed_pool(const role_balance& balance, const role_rule& rule) {
+    if (balance.prefill_use > rule.pressed_use && balance.prefill_use > balance.decode_use) {
+        return backend_role::prefill;
+    }
+    if (balance.decode_use > rule.pressed_use && balance.decode_use > balance.prefill_use) {
+        return backend_role::decode;
+    }
+    return backend_role::plain;
+}
+
+bool can_give_engine(double use, std::uint32_t engines, const role_rule& rule) {
+    if (engines < 2) {
+        return false;
+    }
+    const double use_afterwards = use * engines / (engines - 1);
+    return use_afterwards < rule.idle_use;
+}
+
+} // namespace
+
+void observe_use(role_balance& balance, const role_rule& rule, double prefill_use,
+                 double decode_use, duration since_last, time_point now) {
+    const double weight =
+        std::min(1.0, static_cast<double>(since_last.count()) /
+                          static_cast<double>(std::max<duration::rep>(rule.smoothing.count(), 1)));
+    balance.prefill_use += weight * (prefill_use - balance.prefill_use);
+    balance.decode_use += weight * (decode_use - balance.decode_use);
+    const backend_role pressed = pressed_pool(balance, rule);
+    if (pressed == balance.pressed) {
+        return;
+    }
+    balance.pressed = pressed;
+    balance.pressed_since.reset();
+    if (pressed != backend_role::plain) {
+        balance.pressed_since = now;
+    }
+}
+
+std::optional<backend_role> wanted_role_change(const role_balance& balance, const role_rule& rule,
+                                               time_point now) {
+    if (!balance.pressed_since || now - *balance.pressed_since < rule.settled) {
+        return std::nullopt;
+    }
+    if (balance.changed_at && now - *balance.changed_at < rule.spacing) {
+        return std::nullopt;
+    }
+    const bool needs_prefill = balance.pressed == backend_role::prefill;
+    const bool can_give = needs_prefill
+                              ? can_give_engine(balance.decode_use, balance.decode_engines, rule)
+                              : can_give_engine(balance.prefill_use, balance.prefill_engines, rule);
+    return can_give ? std::optional{balance.pressed} : std::nullopt;
+}
+
+} // namespace cicadahatch::scheduling
--- /dev/null
+++ b/src/scheduling/systems/admit.cpp
@@ -0,0 +1,63 @@
+#include "src/scheduling/systems/admit.hpp"
+
+#include "src/scheduling/internal/fair_queue.hpp"
+#include "src/scheduling/internal/prediction.hpp"
+#include "src/scheduling/internal/refuse.hpp"
+#include "src/scheduling/internal/retry_after.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace cicadahatch::scheduling::systems {
+
+namespace {
+
+work_amount ahead_in_team(cell_state& state, const waiting_request& request) {
+    rank_queue& queue = state.ranks[rank_index(request.spec.rank)];
+    const service_queue* service = queue.services.find(request.spec.service);
+    const auto team = service->teams.find(request.spec.team);
+    work_amount ahead = team->second.ahead;
+    ahead.prefill_seconds = std::max(ahead.prefill_seconds - request.prefill_seconds, 0.0);
+    ahead.slot_seconds = std::max(ahead.slot_seconds - request.slot_seconds, 0.0);
+    return ahead;
+}
+
+std::optional<errc> fault_of(cell_state& state, const cell_policy& policy,
+                             const waiting_request& request, time_point now) {
+    const bool can_prefill = state.capacity.is_plain || state.capacity.prefill_engines > 0;
+    if (state.capacity.slots <= 0 || !can_prefill) {
+        return errc::no_engine;
+    }
+    const rank_queue& queue = state.ranks[rank_index(request.spec.rank)];
+    if (queue.waiting.requests > policy.max_waiting) {
+        return errc::queue_full;
+    }
+    const work_amount ahead = ahead_in_team(state, request);
+    const double part = internal::team_part(state, request.spec);
+    const double wait = internal::predicted_wait_seconds(state, request.spec.rank, ahead, part);
+    const bool is_late = now + internal::from_seconds(wait) > request.latest_start;
+    return is_late ? std::optional{errc::target_unreachable} : std::nullopt;
+}
+
+} // namespace
+
+void admit(cell_state& state, const cell_policy& policy, time_point now) {
+    const std::vector<request_id> arrivals = std::exchange(state.arrivals, {});
+    if (state.home_since) {
+        return; // Reservations are not known yet, so neither are waits.
+    }
+    // The last to come is judged first, so that it leaves the ones before it in place.
+    for (auto newest = arrivals.rbegin(); newest != arrivals.rend(); ++newest) {
+        const waiting_request* request = state.waiting.find(*newest);
+        if (request == nullptr) {
+            continue;
+        }
+        const rank of = request->spec.rank;
+        if (const auto fault = fault_of(state, policy, *request, now)) {
+            internal::refuse(state, *newest, *fault, internal::retry_after(state, policy, of));
+        }
+    }
+}
+
+} // namespace cicadahatch::scheduling::systems
--- /dev/null
+++ b/src/scheduling/systems/grant.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "src/scheduling/cell_policy.hpp"
+#include "src/scheduling/cell_state.hpp"
+
+namespace cicadahatch::scheduling::systems {
+
+/// \brief Grants waiting requests in fair order while engines can take them. Urgent ones go
+/// first, except that a rank which is owed its floor goes before.
+void grant_requests(cell_state& state, const cell_policy& policy, time_point now,
+                    tick_output& output);
+
+} // namespace cicadahatch::scheduling::systems
--- /dev/null
+++ b/src/scheduling/systems/place.cpp
@@ -0,0 +1,239 @@
+#include "src/scheduling/systems/place.hpp"
+
+#include "src/scheduling/internal/cache_view.hpp"
+#include "src/scheduling/internal/engine_health.hpp"
+#include "src/scheduling/internal/prediction.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cicadahatch::scheduling::systems {
+
+namespace {
+
+using internal::from_seconds;
+using internal::to_seconds;
+
+/// A prefill engine with the time that it would need.
+struct prefill_choice {
+    const engine* on = nullptr;
+    double seconds = 0;
+    std::uint32_t cached_tokens = 0;
+    time_point begins;
+    time_point ends;
+};
+
+bool is_prefill_capable(const engine& on) {
+    return on.spec.prefill_tokens_per_second > 0 && internal::takes_work(on);
+}
+
+/// An engine takes one prefill at a time and a next one shortly before it is free.
+bool is_free_for(const engine& on, time_point begins, time_point now, duration lookahead) {
+    if (on.prefills == 0) {
+        return begins <= now + lookahead;
+    }
+    const bool is_overdue = on.prefill_free_at + lookahead < now;
+    return on.prefills == 1 && !is_overdue && begins <= now + lookahead;
+}
+
+prefill_choice consider_prefill(const engine& on, const request_spec& spec, time_point now) {
+    prefill_choice choice;
+    choice.on = &on;
+    choice.cached_tokens =
+        std::min(internal::cached_tokens(on, spec.prefix_hashes), spec.prompt_tokens);
+    choice.seconds = internal::prefill_seconds(on, spec.prompt_tokens - choice.cached_tokens);
+    choice.begins = std::max(now, on.foreign_prefill_until);
+    if (on.prefills > 0) {
+        choice.begins = std::max(choice.begins, on.prefill_free_at);
+    }
+    choice.ends = choice.begins + from_seconds(choice.seconds);
+    return choice;
+}
+
+prefill_choice choose_prefill(const cell_state& state, const cell_policy& policy,
+                              const waiting_request& request, time_point now) {
+    prefill_choice best;
+    for (const engine& on : state.engines.rows()) {
+        if (on.spec.role != backend_role::prefill || !is_prefill_capable(on)) {
+            continue;
+        }
+        const prefill_choice choice = consider_prefill(on, request.spec, now);
+        const duration lookahead =
+            choice.cached_tokens > 0 ? policy.affinity_wait : policy.grant_lookahead;
+        const bool is_better = best.on == nullptr || choice.ends < best.ends;
+        if (is_better && is_free_for(on, choice.begins, now, lookahead)) {
+            best = choice;
+        }
+    }
+    return best;
+}
+
+std::uint32_t open_slots(const engine& on, const cell_policy& policy, bool may_use_reserve) {
+    const std::uint32_t used = on.streams + on.foreign_streams;
+    std::uint32_t slots = on.spec.slots;
+    if (!may_use_reserve) {
+        slots -= static_cast<std::uint32_t>(std::ceil(policy.urgent_reserve * slots));
+    }
+    return slots > used ? slots - used : 0;
+}
+
+/// No stream of the batch may miss its target by the new one, unless no batch could meet it.
+bool keeps_targets(const engine& on, const waiting_request& request) {
+    const std::uint32_t used = on.streams + on.foreign_streams;
+    const duration step = from_seconds(internal::step_seconds(on, used + 1));
+    const duration alone = from_seconds(internal::step_seconds(on, 1));
+    const duration own = request.spec.between_tokens;
+    const bool own_kept = own == duration::zero() || step <= own || (alone > own && used == 0);
+    const auto& targets = on.between_token_targets;
+    const auto tightest = targets.upper_bound(duration::zero());
+    const bool others_kept = tightest == targets.end() || step <= *tightest;
+    return own_kept && others_kept;
+}
+
+bool has_memory(const engine& on, std::uint32_t pieces) {
+    return on.spec.pieces == 0 || on.reserved_pieces + on.foreign_pieces + pieces <= on.spec.pieces;
+}
+
+double fullness(const engine& on) {
+    return (on.streams + on.foreign_streams) / static_cast<double>(on.spec.slots);
+}
+
+struct decode_choice {
+    const engine* on = nullptr;
+    obstacle why = obstacle::slots_full;
+};
+
+/// Where a decode may take place.
+struct decode_wish {
+    bool may_use_reserve = false;
+    bool is_local = false; ///< the engine must do the prefill too
+};
+
+decode_choice choose_decode(const cell_state& state, const cell_policy& policy,
+                            const waiting_request& request, const decode_wish& wanted) {
+    decode_choice best;
+    for (const engine& on : state.engines.rows()) {
+        if (on.spec.role == backend_role::prefill || !internal::takes_work(on)) {
+            continue;
+        }
+        if (wanted.is_local && (!is_prefill_capable(on) || on.prefills > 0)) {
+            continue;
+        }
+        if (open_slots(on, policy, wanted.may_use_reserve) == 0 || !keeps_targets(on, request)) {
+            continue;
+        }
+        if (!has_memory(on, internal::pieces_needed(on, policy, request.spec))) {
+            best.why = best.on == nullptr ? obstacle::memory_full : best.why;
+            continue;
+        }
+        if (best.on == nullptr || fullness(on) < fullness(*best.on)) {
+            best = {&on, obstacle::none};
+        }
+    }
+    return best;
+}
+
+time_point links_free_at(const cell_state& state, const engine& from, const engine& to) {
+    time_point free_at;
+    for (const link_id& id : {from.spec.link, to.spec.link}) {
+        const link* line = id.empty() ? nullptr : state.links.find(id);
+        if (line != nullptr) {
+            free_at = std::max(free_at, line->free_at);
+        }
+    }
+    return free_at;
+}
+
+placement planned(const cell_state& state, const cell_policy& policy,
+                  const waiting_request& request, const prefill_choice& prefill,
+                  const engine& decode) {
+    const engine& from = prefill.on == nullptr ? decode : *prefill.on;
+    const bool is_moved = from.id != decode.id;
+    placement found;
+    found.prefill = prefill.on == nullptr ? backend_id{} : from.id;
+    found.decode = decode.id;
+    found.prefill_seconds = prefill.seconds;
+    found.cached_tokens = prefill.cached_tokens;
+    found.prefill_begins = prefill.begins;
+    found.prefill_ends = prefill.ends;
+    found.transfer_begins = found.prefill_ends;
+    if (is_moved) {
+        found.transfer_begins = std::max(found.prefill_ends, links_free_at(state, from, decode));
+    }
+    const double moving =
+        internal::transfer_seconds(state, from, decode, request.spec.prompt_tokens);
+    found.transfer_ends = found.transfer_begins + from_seconds(moving);
+    const std::uint32_t batch = decode.streams + decode.foreign_streams + 1;
+    found.between_tokens = from_seconds(internal::step_seconds(decode, batch));
+    found.first_token = found.transfer_ends + found.between_tokens;
+    found.pieces = internal::pieces_needed(decode, policy, request.spec);
+    // Waiting for a link, not the transfer itself, uses up the time that the KV is kept.
+    const duration allowed =
+        from_seconds(to_seconds(policy.kv_retention) * policy.retention_margin);
+    if (found.transfer_begins - found.prefill_ends > allowed) {
+        found.why = obstacle::link_busy;
+    }
+    return found;
+}
+
+placement blocked(obstacle why) {
+    placement none;
+    none.why = why;
+    return none;
+}
+
+bool has_prefill_pool(const cell_state& state) {
+    const auto& engines = state.engines.rows();
+    return std::any_of(engines.begin(), engines.end(), [](const engine& on) {
+        return on.spec.role == backend_role::prefill && internal::takes_work(on);
+    });
+}
+
+/// The decode engine prefills itself, or is a plain server that has nothing to prefill.
+placement place_locally(const cell_state& state, const cell_policy& policy,
+                        const waiting_request& request, bool may_use_reserve, time_point now) {
+    const bool is_plain = state.capacity.is_plain;
+    const decode_choice decode =
+        choose_decode(state, policy, request, {may_use_reserve, !is_plain});
+    if (decode.on == nullptr) {
+        return blocked(decode.why);
+    }
+    prefill_choice prefill;
+    prefill.begins = now;
+    prefill.ends = now;
+    if (!is_plain) {
+        prefill = consider_prefill(*decode.on, request.spec, now);
+    }
+    return planned(state, policy, request, prefill, *decode.on);
+}
+
+} // namespace
+
+placement place(const cell_state& state, const cell_policy& policy, const waiting_request& request,
+                bool may_use_reserve, time_point now) {
+    if (state.capacity.is_plain) {
+        return place_locally(state, policy, request, may_use_reserve, now);
+    }
+    if (state.capacity.prefill_engines <= 0) {
+        return blocked(obstacle::prefill_busy);
+    }
+    const bool has_pool = has_prefill_pool(state);
+    const bool is_small = request.spec.prompt_tokens <= policy.local_prefill_tokens;
+    if (!has_pool || is_small) {
+        placement local = place_locally(state, policy, request, may_use_reserve, now);
+        if (!has_pool || local.why == obstacle::none) {
+            return local;
+        }
+    }
+    const decode_choice decode = choose_decode(state, policy, request, {may_use_reserve, false});
+    if (decode.on == nullptr) {
+        return blocked(decode.why);
+    }
+    const prefill_choice prefill = choose_prefill(state, policy, request, now);
+    if (prefill.on == nullptr) {
+        return blocked(obstacle::prefill_busy);
+    }
+    return planned(state, policy, request, prefill, *decode.on);
+}
+
+} // namespace cicadahatch::scheduling::systems
--- /dev/null
+++ b/src/scheduling/systems/place.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "src/scheduling/cell_policy.hpp"
+#include "src/scheduling/cell_state.hpp"
+
+#include <cstdint>
+
+namespace cicadahatch::scheduling::systems {
+
+/// \brief Why a request has no place now.
+enum class obstacle : std::uint8_t {
+    none,
+    prefill_busy, ///< every prefill engine is busy
+    slots_full,   ///< no decode engine has a slot
+    memory_full,  ///< none with a slot has the memory; a smaller request may have a place
+    link_busy     ///< the transfer would wait longer than the KV is kept
+};
+
+/// \brief Where a request would run, or why it can't run now.
+struct placement {
+    obstacle why = obstacle::none;
+    backend_id prefill;
+    backend_id decode;
+    double prefill_seconds = 0;
+    std::uint32_t cached_tokens = 0;
+    time_point prefill_begins;
+    time_point prefill_ends;
+    time_point transfer_begins;
+    time_point transfer_ends;
+    time_point first_token;
+    duration between_tokens{0};
+    std::uint32_t pieces = 0;
+};
+
+/// \brief Finds the engines of a request's prefill and decode. Reserves nothing.
+/// \param may_use_reserve whether the slots kept for urgent work are open to the request
+[[nodiscard]] placement place(const cell_state& state, const cell_policy& policy,
+                              const waiting_request& request, bool may_use_reserve, time_point now);
+
+} // namespace cicadahatch::scheduling::systems
--- /dev/null
+++ b/src/scheduling/systems/predict.cpp
@@ -0,0 +1,122 @@
+#include "src/scheduling/systems/predict.hpp"
+
+#include "src/scheduling/internal/engine_health.hpp"
+#include "src/scheduling/internal/prediction.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cicadahatch::scheduling::systems {
+
+namespace {
+
+/// Spare capacity that a rank took counts against its floor only up to this part of the most
+/// that it can be owed.
+constexpr double largest_debt_part = 0.1;
+
+/// Sums over engines that become means.
+struct engine_sums {
+    double prefill_tokens = 0;
+    double prefill_overhead = 0;
+    double bytes_per_token = 0;
+    double step_seconds = 0;
+    bool has_prefill_pool = false;
+};
+
+bool is_available(const engine& on) {
+    return !on.is_leaving && on.health != health::ejected;
+}
+
+bool is_prefill_pool(const engine& on) {
+    return is_available(on) && on.spec.role == backend_role::prefill &&
+           on.spec.prefill_tokens_per_second > 0;
+}
+
+void add_prefill(const engine& on, cell_capacity& capacity, engine_sums& sums) {
+    ++capacity.prefill_engines;
+    sums.prefill_tokens += on.spec.prefill_tokens_per_second / on.prefill_scale;
+    sums.prefill_overhead += internal::to_seconds(on.spec.prefill_overhead) * on.prefill_scale;
+}
+
+void add_decode(const engine& on, cell_capacity& capacity, engine_sums& sums) {
+    const std::uint32_t used = on.streams + on.foreign_streams;
+    capacity.slots += on.spec.slots;
+    capacity.free_slots += on.spec.slots > used ? on.spec.slots - used : 0;
+    sums.bytes_per_token += on.spec.kv_bytes_per_token;
+    sums.step_seconds += internal::step_seconds(on, on.spec.slots);
+    ++capacity.decode_engines;
+}
+
+double mean_link_rate(const cell_state& state) {
+    double rates = 0;
+    for (const link& line : state.links.rows()) {
+        rates += line.bytes_per_second;
+    }
+    return state.links.empty() ? 0 : rates / static_cast<double>(state.links.size());
+}
+
+void fill_means(const cell_state& state, const engine_sums& sums, cell_capacity& capacity) {
+    if (capacity.prefill_engines > 0) {
+        capacity.prefill_tokens_per_second = sums.prefill_tokens / capacity.prefill_engines;
+        capacity.prefill_overhead_seconds = sums.prefill_overhead / capacity.prefill_engines;
+    }
+    if (capacity.decode_engines > 0) {
+        capacity.step_seconds = sums.step_seconds / capacity.decode_engines;
+    }
+    const double rate = mean_link_rate(state);
+    if (sums.has_prefill_pool && rate > 0 && capacity.decode_engines > 0) {
+        capacity.transfer_seconds_per_token = sums.bytes_per_token / capacity.decode_engines / rate;
+    }
+}
+
+cell_capacity measure_capacity(const cell_state& state) {
+    cell_capacity capacity;
+    engine_sums sums;
+    const auto& engines = state.engines.rows();
+    sums.has_prefill_pool = std::any_of(engines.begin(), engines.end(), is_prefill_pool);
+    for (const engine& on : engines) {
+        if (!is_available(on)) {
+            continue;
+        }
+        capacity.is_plain = capacity.is_plain || on.spec.role == backend_role::plain;
+        ++capacity.engine_seconds;
+        const bool prefills =
+            sums.has_prefill_pool ? is_prefill_pool(on) : on.spec.prefill_tokens_per_second > 0;
+        if (prefills) {
+            add_prefill(on, capacity, sums);
+        }
+        if (on.spec.role != backend_role::prefill) {
+            add_decode(on, capacity, sums);
+        }
+    }
+    fill_means(state, sums, capacity);
+    capacity.mean_slot_seconds = state.capacity.mean_slot_seconds;
+    capacity.mean_prompt_tokens = state.capacity.mean_prompt_tokens;
+    return capacity;
+}
+
+void update_rank(rank_queue& queue, const cell_state& state, const cell_policy& policy,
+                 double elapsed) {
+    queue.usage *= std::exp(-elapsed / internal::to_seconds(usage_window));
+    const double owed_rate = internal::owed_rate(state, policy, queue);
+    const double largest = internal::largest_credit(state, policy, queue);
+    if (queue.waiting.requests == 0) {
+        queue.credit = 0;
+        return;
+    }
+    queue.credit =
+        std::clamp(queue.credit + owed_rate * elapsed, -largest * largest_debt_part, largest);
+}
+
+} // namespace
+
+void predict(cell_state& state, const cell_policy& policy, time_point now) {
+    internal::review_health(state, policy, now);
+    state.capacity = measure_capacity(state);
+    const double elapsed = internal::to_seconds(now - state.last_tick);
+    for (rank_queue& queue : state.ranks) {
+        update_rank(queue, state, policy, elapsed);
+    }
+}
+
+} // namespace cicadahatch::scheduling::systems
--- /dev/null
+++ b/test/scheduling/cell_test.cpp
@@ -0,0 +1,76 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "cicadahatch/core"
+#include "cicadahatch/scheduling"
+#include "test/support/scheduling_cell.hpp"
+
+#include <doctest/doctest.h>
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace cicadahatch;
+using namespace cicadahatch::scheduling;
+
+struct cell_fixture {
+    manual_clock time;
+    cell_policy policy;
+    cell_state state = test_support::small_cell(time.now());
+
+    request_spec request(const std::string& id, rank of = rank::urgent) {
+        return test_support::request(id, of, time.now());
+    }
+    tick_output step(duration by = tick_period) {
+        time.advance(by);
+        return tick(state, policy, time.now());
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(cell_fixture, "tick, one request on an idle cell, granted with both engines") {
+    REQUIRE(submit(state, policy, request("r1"), time.now()));
+    const tick_output output = step();
+    REQUIRE(output.grants.size() == 1);
+    CHECK(output.grants[0].request == request_id{"r1"});
+    CHECK(output.grants[0].prefill == backend_id{"prefill-0"});
+    CHECK(output.grants[0].decode.str().starts_with("decode-"));
+    CHECK(output.grants[0].predicted_first_token > 100ms);
+    CHECK(output.refusals.empty());
+}
+
+TEST_CASE_FIXTURE(cell_fixture, "submit, same identifier twice, second is refused as duplicate") {
+    REQUIRE(submit(state, policy, request("r1"), time.now()));
+    CHECK(submit(state, policy, request("r1"), time.now()).error() == errc::duplicate_request);
+    CHECK(step().grants.size() == 1);
+    CHECK(submit(state, policy, request("r1"), time.now()).error() == errc::duplicate_request);
+}
+
+TEST_CASE_FIXTURE(cell_fixture,
+                  "tick, prefill engine busy, second request waits until it is free") {
+    REQUIRE(submit(state, policy, request("r1"), time.now()));
+    REQUIRE(submit(state, policy, request("r2"), time.now()));
+    CHECK(step().grants.size() == 1);
+    CHECK(step().grants.empty());
+    prefill_finished(state, request_id{"r1"}, 0, time.now());
+    CHECK(step().grants.size() == 1);
+}
+
+TEST_CASE_FIXTURE(cell_fixture, "tick, both ranks wait, urgent is granted first") {
+    REQUIRE(submit(state, policy, request("d", rank::deferrable), time.now()));
+    REQUIRE(submit(state, policy, request("u", rank::urgent), time.now()));
+    const tick_output output = step();
+    REQUIRE(output.grants.size() == 1);
+    CHECK(output.grants[0].request == request_id{"u"});
+}
+
+TEST_CASE_FIXTURE(cell_fixture, "withdraw, waiting and granted, queue and reservations are empty") {
+    REQUIRE(submit(state, policy, request("r1"), time.now()));
+    CHECK(step().grants.size() == 1);
+    REQUIRE(submit(state, policy, request("r2"), time.now()));
+    CHECK_FALSE(withdraw(state, request_id{"r2"}, time.now()).has_value());
+    CHECK(withdraw(state, request_id{"r1"}, time.now()).has_value());
+    CHECK(state.waiting.empty());
+    for (const engine& on : state.engines.rows()) {
+        CHECK(on.prefills + on.streams + on.reserved_pieces == 0);
+    }
+}
