--- a/src/scheduling/systems/grant.cpp
+++ b/src/scheduling/systems/grant.cpp
@@ -91,8 +91,16 @@
     internal::reserve(state, std::move(held), now);
 }
 
-bool is_owed(const rank_queue& queue) {
-    return queue.waiting.requests > 0 && queue.credit > 0;
+/// Whether the rank's floor has earned what its next request costs.
+bool is_owed(cell_state& state, const cell_policy& policy, rank of,
+             const internal::skipped_teams& skipped) {
+    const rank_queue& queue = state.ranks[rank_index(of)];
+    const waiting_request* next = internal::next_request(state, of, skipped);
+    if (next == nullptr || queue.floor <= 0) {
+        return false;
+    }
+    const double cost = internal::expected_cost(state, *next);
+    return queue.credit >= std::min(cost, internal::largest_credit(state, policy, queue));
 }
 
 attempt try_rank(cell_state& state, const cell_policy& policy, rank of,
