scheduling: spill from a full cell, eject a role's only engine

Change: the only engine may be ejected; a cell counts as full at a quarter of the target's wait, and spills to one that waits half as long. Ruled out: reports' lag, for stale reports cost nothing.

--- a/src/scheduling/cell_choice.cpp
+++ b/src/scheduling/cell_choice.cpp
@@ -12,6 +12,24 @@
     return digest.predicted_wait[rank_index(of)];
 }
 
+/// A cell is full once its wait takes so much of the target that little room is left for error.
+constexpr double full_part = 0.25;
+/// Another domain's cell must be this much better, so that lagging digests don't send work there
+/// and back.
+constexpr double spill_gain = 0.5;
+
+bool is_full(const cell_digest& digest, const choice_request& request) {
+    const auto wait = static_cast<double>(wait_in(digest, request.rank).count());
+    return wait > full_part * static_cast<double>(request.first_token.count());
+}
+
+bool is_clearly_better(const cell_digest& other, const cell_digest& own,
+                       const choice_request& request) {
+    const duration there = wait_in(other, request.rank) + request.domain_distance;
+    const auto here = static_cast<double>(wait_in(own, request.rank).count());
+    return static_cast<double>(there.count()) < spill_gain * here;
+}
+
 /// The less loaded of two random ones: lagging digests then don't send everyone to one cell.
 const cell_digest* better_of_two(const std::vector<const cell_digest*>& cells, rank of,
                                  random_source& random) {
@@ -53,7 +71,8 @@
     digest.domain = domain;
     digest.model = state.model;
     digest.taken_at = now;
-    digest.takes_work = state.capacity.slots > 0 && !state.home_since;
+    const bool can_prefill = state.capacity.is_plain || state.capacity.prefill_engines > 0;
+    digest.takes_work = state.capacity.slots > 0 && can_prefill && !state.home_since;
     for (const rank of : {rank::urgent, rank::deferrable}) {
         const work_amount& all = state.ranks[rank_index(of)].waiting;
         const double wait = internal::predicted_wait_seconds(state, of, all, 1);
@@ -73,14 +92,16 @@
                                        random_source& random) {
     const cell_digest* inside =
         better_of_two(cells_of(digests, own, request.model, true), request.rank, random);
-    if (inside != nullptr && meets_target(*inside, request, duration::zero())) {
+    const bool is_met_inside =
+        inside != nullptr && meets_target(*inside, request, duration::zero());
+    if (is_met_inside && !is_full(*inside, request)) {
         return cell_target{inside->id, false};
     }
     const cell_digest* outside =
         better_of_two(cells_of(digests, own, request.model, false), request.rank, random);
     const bool can_spill =
         outside != nullptr && meets_target(*outside, request, request.domain_distance);
-    if (can_spill) {
+    if (can_spill && (!is_met_inside || is_clearly_better(*outside, *inside, request))) {
         return cell_target{outside->id, true};
     }
     if (inside != nullptr) {
--- a/src/scheduling/cell_choice.hpp
+++ b/src/scheduling/cell_choice.hpp
@@ -41,8 +41,8 @@
 };
 
 /// \brief Chooses the cell to ask: of two random cells of the daemon's own domain the one with
-/// the shorter wait; if the target can't be met there, the better of two of other domains, but
-/// only if it is met there.
+/// the shorter wait; if that is full or can't meet the target, the better of two of other domains,
+/// but only if the target is met there.
 /// \returns nothing if no cell of the model takes work
 [[nodiscard]] std::optional<cell_target> choose_cell(const std::vector<cell_digest>& digests,
                                                      const domain_id& own,
--- a/src/scheduling/internal/engine_health.cpp
+++ b/src/scheduling/internal/engine_health.cpp
@@ -10,7 +10,8 @@
 
 constexpr std::uint32_t largest_backoff_exponent = 10;
 
-/// Ejecting more than a part of a role would turn a common cause into an outage.
+/// Ejecting more than a part of a role would turn a common cause into an outage. A role's only
+/// engine may go: another cell serves better than one that fails every request.
 bool may_eject(const cell_state& state, const cell_policy& policy, backend_role role) {
     std::size_t all = 0;
     std::size_t ejected = 0;
@@ -22,7 +23,7 @@
     }
     const auto share =
         static_cast<std::size_t>(std::floor(policy.ejection_share * static_cast<double>(all)));
-    return all >= 2 && ejected < std::max<std::size_t>(share, 1);
+    return ejected < std::max<std::size_t>(share, 1);
 }
 
 void eject(engine& on, const cell_policy& policy, time_point now) {
