--- a/src/scheduling/cell_policy.hpp
+++ b/src/scheduling/cell_policy.hpp
@@ -20,7 +20,7 @@
 struct cell_policy {
     duration kv_retention = std::chrono::milliseconds{800}; ///< how long a prefill's KV is kept
     double retention_margin = 0.5; ///< part of the retention that a plan may use
-    duration grant_lookahead = std::chrono::milliseconds{10}; ///< grant this early before idle
+    duration grant_lookahead = std::chrono::milliseconds{20}; ///< grant this early before idle
     duration affinity_wait = std::chrono::milliseconds{60};   ///< longest wait for a cached prefix
     double target_margin = 0.1; ///< part of the target kept as reserve in predictions
     duration control_delay = std::chrono::milliseconds{5}; ///< between a grant and its effect
