--- a/bench/replay_bench.cpp
+++ b/bench/replay_bench.cpp
@@ -6,6 +6,7 @@
 
 #include <cstdio>
 #include <cxxopts.hpp>
+#include <exception>
 #include <functional>
 #include <vector>
 
@@ -82,7 +83,7 @@
 
 } // namespace
 
-int main(int argc, char** argv) {
+int main(int argc, char** argv) try {
     cxxopts::Options options("replay_bench", "Replays the cases of both deployments");
     options.add_options()("quick", "one seed, three cases")(
         "case", "only cases with this text", cxxopts::value<std::string>()->default_value(""));
@@ -102,4 +103,7 @@
         }
     }
     return 0;
+} catch (const std::exception& error) {
+    std::fprintf(stderr, "replay_bench: %s\n", error.what());
+    return 1;
 }
--- a/bench/tick_bench.cpp
+++ b/bench/tick_bench.cpp
@@ -128,6 +128,7 @@
         tick_once(cell);
     }
     std::vector<double> times;
+    times.reserve(measured_ticks);
     for (int count = 0; count < measured_ticks; ++count) {
         times.push_back(tick_once(cell));
     }
--- a/test/scheduling/cell_test.cpp
+++ b/test/scheduling/cell_test.cpp
@@ -74,3 +74,57 @@
         CHECK(on.prefills + on.streams + on.reserved_pieces == 0);
     }
 }
+
+TEST_CASE_FIXTURE(cell_fixture, "tick, engines gone after admission, refused before the target") {
+    REQUIRE(submit(state, policy, request("r1"), time.now()));
+    REQUIRE(submit(state, policy, request("r2"), time.now()));
+    CHECK(step().grants.size() == 1);
+    mark_leaving(state, backend_id{"prefill-0"});
+    std::vector<refusal> refusals;
+    for (duration passed{0}; refusals.empty(); passed += tick_period) {
+        REQUIRE(passed < 1500ms);
+        refusals = step().refusals;
+    }
+    CHECK(refusals[0].request == request_id{"r2"});
+    CHECK(refusals[0].reason == errc::target_unreachable);
+    CHECK(refusals[0].retry_after > 0ms);
+}
+
+TEST_CASE_FIXTURE(cell_fixture, "tick, caller's deadline passes first, refused for that") {
+    REQUIRE(submit(state, policy, request("r1", rank::deferrable), time.now()));
+    request_spec spec = request("r2", rank::deferrable);
+    spec.deadline = time.now() + 20ms;
+    REQUIRE(submit(state, policy, spec, time.now()));
+    CHECK(step().grants.size() == 1);
+    const tick_output output = step(20ms);
+    REQUIRE(output.refusals.size() == 1);
+    CHECK(output.refusals[0].reason == errc::deadline_passed);
+}
+
+TEST_CASE_FIXTURE(cell_fixture, "tick, prompt too long for its target, run as well as may be") {
+    request_spec spec = request("r1");
+    spec.prompt_tokens = 65'000;
+    REQUIRE(submit(state, policy, spec, time.now()));
+    CHECK(step().grants.size() == 1);
+}
+
+TEST_CASE_FIXTURE(cell_fixture, "submit, larger than any engine's memory, refused as too large") {
+    request_spec spec = request("r1");
+    spec.prompt_tokens = 400'000;
+    CHECK(submit(state, policy, spec, time.now()).error() == errc::too_large);
+}
+
+TEST_CASE_FIXTURE(cell_fixture, "tick, batch would break a stream's target, not joined") {
+    request_spec tight = request("r1");
+    tight.between_tokens = 11ms; // met only alone
+    for (engine& on : state.engines.rows()) {
+        on.is_leaving = on.id == backend_id{"decode-1"};
+    }
+    REQUIRE(submit(state, policy, tight, time.now()));
+    CHECK(step().grants.size() == 1);
+    prefill_finished(state, request_id{"r1"}, 0, time.now());
+    REQUIRE(submit(state, policy, request("r2"), time.now()));
+    CHECK(step().grants.empty());
+    release(state, policy, request_id{"r1"}, outcome::completed, 200, time.now());
+    CHECK(step().grants.size() == 1);
+}
--- /dev/null
+++ b/test/scheduling/choice_test.cpp
@@ -0,0 +1,132 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "cicadahatch/core"
+#include "cicadahatch/scheduling"
+
+#include <doctest/doctest.h>
+#include <map>
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace cicadahatch;
+using namespace cicadahatch::scheduling;
+
+struct choice_fixture {
+    domain_id own{"a"};
+    random_source random{3};
+    choice_request request{model_id{"m"}, rank::urgent, 1s, 0ms, 2ms};
+
+    static cell_digest cell(const std::string& id, const std::string& domain, duration wait) {
+        cell_digest digest;
+        digest.id = cell_id{id};
+        digest.domain = domain_id{domain};
+        digest.model = model_id{"m"};
+        digest.predicted_wait = {wait, wait};
+        digest.typical_minimum = 200ms;
+        return digest;
+    }
+};
+
+struct role_fixture {
+    manual_clock time;
+    role_rule rule;
+    role_balance balance;
+
+    role_fixture() {
+        balance.prefill_engines = 3;
+        balance.decode_engines = 7;
+    }
+    std::optional<backend_role> after(double prefill_use, double decode_use, duration length) {
+        for (duration passed{0}; passed < length; passed += 1s) {
+            time.advance(1s);
+            observe_use(balance, rule, prefill_use, decode_use, 1s, time.now());
+        }
+        return wanted_role_change(balance, rule, time.now());
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(choice_fixture, "choose_cell, own domain has room, nothing is spilled") {
+    const auto target =
+        choose_cell({cell("c1", "a", 100ms), cell("c2", "b", 0ms)}, own, request, random);
+    REQUIRE(target);
+    CHECK(target->cell == cell_id{"c1"});
+    CHECK_FALSE(target->is_spilled);
+}
+
+TEST_CASE_FIXTURE(choice_fixture,
+                  "choose_cell, own domain is full, spilled where the target holds") {
+    const auto target =
+        choose_cell({cell("c1", "a", 2s), cell("c2", "b", 100ms)}, own, request, random);
+    REQUIRE(target);
+    CHECK(target->cell == cell_id{"c2"});
+    CHECK(target->is_spilled);
+}
+
+TEST_CASE_FIXTURE(choice_fixture, "choose_cell, target holds nowhere, stays in its own domain") {
+    const auto target =
+        choose_cell({cell("c1", "a", 2s), cell("c2", "b", 900ms)}, own, request, random);
+    REQUIRE(target);
+    CHECK(target->cell == cell_id{"c1"});
+}
+
+TEST_CASE_FIXTURE(choice_fixture, "choose_cell, no cell takes work, nothing") {
+    cell_digest closed = cell("c1", "a", 0ms);
+    closed.takes_work = false;
+    CHECK_FALSE(choose_cell({closed}, own, request, random));
+}
+
+TEST_CASE_FIXTURE(choice_fixture, "choose_cell, twenty cells, the longest wait is never chosen") {
+    std::vector<cell_digest> digests;
+    digests.reserve(20);
+    for (int number = 0; number < 20; ++number) {
+        digests.push_back(cell("c" + std::to_string(number), "a", number * 10ms));
+    }
+    std::map<cell_id, int> chosen;
+    for (int count = 0; count < 2'000; ++count) {
+        ++chosen[choose_cell(digests, own, request, random)->cell];
+    }
+    CHECK(chosen[cell_id{"c19"}] == 0);
+    CHECK(chosen[cell_id{"c0"}] > 100);
+    CHECK(chosen[cell_id{"c0"}] < 400);
+}
+
+TEST_CASE("retry_budget, all tries fail, retries stay a tenth of the requests") {
+    retry_budget budget;
+    int retries = 0;
+    for (int count = 0; count < 1'000; ++count) {
+        note_request(budget);
+        while (take_retry(budget)) {
+            ++retries;
+        }
+    }
+    CHECK(retries <= 111);
+    CHECK(retries >= 100);
+}
+
+TEST_CASE_FIXTURE(role_fixture, "role change, short pressure, none") {
+    CHECK_FALSE(after(1.2, 0.3, 20s));
+}
+
+TEST_CASE_FIXTURE(role_fixture, "role change, lasting pressure and an idle pool, wanted") {
+    CHECK(after(1.2, 0.3, 60s) == backend_role::prefill);
+}
+
+TEST_CASE_FIXTURE(role_fixture, "role change, the other pool is in use, none") {
+    CHECK_FALSE(after(1.2, 0.8, 120s));
+}
+
+TEST_CASE_FIXTURE(role_fixture, "role change, right after one, waits for the spacing") {
+    CHECK(after(1.2, 0.3, 60s) == backend_role::prefill);
+    balance.changed_at = time.now();
+    CHECK_FALSE(after(1.2, 0.3, 60s));
+    CHECK(after(1.2, 0.3, 90s) == backend_role::prefill);
+}
+
+TEST_CASE_FIXTURE(role_fixture, "role change, use swings around the mark, none") {
+    for (int count = 0; count < 20; ++count) {
+        CHECK_FALSE(after(1.1, 0.3, 12s));
+        CHECK_FALSE(after(0.5, 0.3, 12s));
+    }
+}
--- /dev/null
+++ b/test/scheduling/engine_view_test.cpp
@@ -0,0 +1,204 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "cicadahatch/core"
+#include "cicadahatch/scheduling"
+#include "test/support/scheduling_cell.hpp"
+
+#include <doctest/doctest.h>
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace cicadahatch;
+using namespace cicadahatch::scheduling;
+
+struct two_prefill_fixture {
+    manual_clock time;
+    cell_policy policy;
+    cell_state state = test_support::small_cell(time.now(), 2, 3);
+
+    tick_output step(duration by = tick_period) {
+        time.advance(by);
+        renew_owner(state, daemon_id{"daemon"}, time.now());
+        return tick(state, policy, time.now());
+    }
+    request_spec with_prefix(const std::string& id, std::vector<std::uint64_t> hashes) const {
+        request_spec spec = test_support::request(id, rank::urgent, time.now());
+        spec.prefix_hashes = std::move(hashes);
+        return spec;
+    }
+    grant granted(const request_spec& spec) {
+        REQUIRE(submit(state, policy, spec, time.now()));
+        const tick_output output = step();
+        REQUIRE(output.grants.size() == 1);
+        return output.grants.front();
+    }
+    engine& at(const std::string& id) { return *state.engines.find(backend_id{id}); }
+    void fail_once(const std::string& id) {
+        const grant issued = granted(test_support::request(id, rank::urgent, time.now()));
+        const auto ended = issued.prefill == backend_id{"prefill-0"} ? outcome::prefill_failed
+                                                                     : outcome::superseded;
+        release(state, policy, issued.request, ended, 0, time.now());
+    }
+    void eject_first() {
+        for (int count = 0; at("prefill-0").health == health::healthy; ++count) {
+            REQUIRE(count < 20);
+            fail_once("f" + std::to_string(count));
+        }
+    }
+    load_report report(const std::string& id, std::uint64_t sequence, std::uint32_t running) {
+        load_report told;
+        told.backend = backend_id{id};
+        told.sequence = sequence;
+        told.taken_at = time.now() - 300ms;
+        told.running = running;
+        return told;
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(two_prefill_fixture, "engine, three failures in a row, ejected, then probed") {
+    eject_first();
+    for (int count = 0; count < 5; ++count) {
+        const grant other =
+            granted(test_support::request("o" + std::to_string(count), rank::urgent, time.now()));
+        CHECK(other.prefill == backend_id{"prefill-1"});
+        withdraw(state, other.request, time.now());
+    }
+    step(2s);
+    CHECK(at("prefill-0").health == health::probing);
+    const grant probe = granted(test_support::request("probe", rank::urgent, time.now()));
+    REQUIRE(probe.prefill == backend_id{"prefill-0"});
+    prefill_finished(state, probe.request, 0, time.now());
+    CHECK(at("prefill-0").health == health::healthy);
+}
+
+TEST_CASE_FIXTURE(two_prefill_fixture, "engine, silent prefill, counted as failed once") {
+    const grant issued = granted(test_support::request("r", rank::urgent, time.now()));
+    step(3s);
+    step(1s);
+    CHECK(state.engines.find(issued.prefill)->failures_in_row == 1);
+}
+
+TEST_CASE_FIXTURE(two_prefill_fixture, "engine, five times slower than predicted, scale follows") {
+    for (int count = 0; count < 20; ++count) {
+        const grant issued =
+            granted(test_support::request("r" + std::to_string(count), rank::urgent, time.now()));
+        const bool is_slow = issued.prefill == backend_id{"prefill-0"};
+        time.advance(is_slow ? 750ms : 150ms);
+        prefill_finished(state, issued.request, 0, time.now());
+        withdraw(state, issued.request, time.now());
+    }
+    CHECK(at("prefill-0").prefill_scale > at("prefill-1").prefill_scale);
+}
+
+TEST_CASE_FIXTURE(two_prefill_fixture, "engine, marked as leaving, gets no new grant, nor later") {
+    mark_leaving(state, backend_id{"prefill-0"});
+    for (int count = 0; count < 4; ++count) {
+        const grant issued =
+            granted(test_support::request("r" + std::to_string(count), rank::urgent, time.now()));
+        CHECK(issued.prefill == backend_id{"prefill-1"});
+        withdraw(state, issued.request, time.now());
+    }
+}
+
+TEST_CASE_FIXTURE(two_prefill_fixture, "cache, prefix held by one engine, that engine is chosen") {
+    ingest_cache_events(state, policy,
+                        {backend_id{"prefill-1"}, incarnation{}, 0, false, {{7, true}, {8, true}}});
+    const grant issued = granted(with_prefix("r", {7, 8}));
+    CHECK(issued.prefill == backend_id{"prefill-1"});
+    CHECK(issued.expected_cached_tokens == 2 * prefix_block_tokens);
+}
+
+TEST_CASE_FIXTURE(two_prefill_fixture, "cache, holder is busy for long, another engine is taken") {
+    ingest_cache_events(state, policy,
+                        {backend_id{"prefill-1"}, incarnation{}, 0, false, {{7, true}}});
+    CHECK(granted(with_prefix("r1", {7})).prefill == backend_id{"prefill-1"});
+    CHECK(granted(with_prefix("r2", {7})).prefill == backend_id{"prefill-0"});
+}
+
+TEST_CASE_FIXTURE(two_prefill_fixture, "cache, gap in the events, view dropped until a snapshot") {
+    const backend_id backend{"prefill-0"};
+    CHECK(ingest_cache_events(state, policy, {backend, incarnation{}, 0, false, {{7, true}}}));
+    CHECK_FALSE(
+        ingest_cache_events(state, policy, {backend, incarnation{}, 5, false, {{8, true}}}));
+    CHECK(at("prefill-0").cached.empty());
+    CHECK_FALSE(
+        ingest_cache_events(state, policy, {backend, incarnation{}, 6, false, {{9, true}}}));
+    CHECK(ingest_cache_events(state, policy, {backend, incarnation{}, 7, true, {{9, true}}}));
+    CHECK(at("prefill-0").cached.size() == 1);
+}
+
+TEST_CASE_FIXTURE(two_prefill_fixture, "cache, engine held less than expected, view is corrected") {
+    ingest_cache_events(state, policy,
+                        {backend_id{"prefill-1"}, incarnation{}, 0, false, {{7, true}, {8, true}}});
+    const grant issued = granted(with_prefix("r", {7, 8}));
+    prefill_finished(state, issued.request, 0, time.now());
+    CHECK(at("prefill-1").cached.empty());
+}
+
+TEST_CASE_FIXTURE(two_prefill_fixture, "load report, foreign streams, counted; own ones are not") {
+    ingest_load(state, report("decode-0", 1, 12), time.now());
+    CHECK(at("decode-0").foreign_streams == 12);
+    const grant issued = granted(test_support::request("r", rank::urgent, time.now()));
+    CHECK(issued.decode != backend_id{"decode-0"});
+    ingest_load(state, report(issued.decode.str(), 1, 1), time.now());
+    CHECK(state.engines.find(issued.decode)->foreign_streams == 0);
+}
+
+TEST_CASE_FIXTURE(two_prefill_fixture, "load report, own stream ended since, is not foreign") {
+    const grant issued = granted(test_support::request("r", rank::urgent, time.now()));
+    time.advance(150ms);
+    first_token(state, issued.request, time.now());
+    time.advance(1s);
+    release(state, policy, issued.request, outcome::completed, 30, time.now());
+    time.advance(100ms);
+    ingest_load(state, report(issued.decode.str(), 1, 1), time.now());
+    CHECK(state.engines.find(issued.decode)->foreign_streams == 0);
+}
+
+TEST_CASE_FIXTURE(two_prefill_fixture, "load report, older than the last, ignored") {
+    ingest_load(state, report("decode-0", 5, 3), time.now());
+    ingest_load(state, report("decode-0", 4, 19), time.now());
+    CHECK(at("decode-0").foreign_streams == 3);
+}
+
+TEST_CASE("tick, no prefill pool, decode engine does both") {
+    manual_clock time;
+    cell_policy policy;
+    engine_spec both = test_support::decode_engine("decode-0");
+    both.prefill_tokens_per_second = 40'000;
+    service_spec service;
+    service.id = service_id{"notes"};
+    service.urgent = {1500ms, 45ms, 1, 0};
+    cell_state state =
+        cell_builder{}.id(cell_id{"cell"}).engines({both}).services({service}).build(time.now());
+    REQUIRE(
+        submit(state, policy, test_support::request("r", rank::urgent, time.now()), time.now()));
+    const tick_output output = tick(state, policy, time.now());
+    REQUIRE(output.grants.size() == 1);
+    CHECK(output.grants[0].prefill == output.grants[0].decode);
+}
+
+TEST_CASE("tick, plain servers, as many grants as slots and no prefill") {
+    manual_clock time;
+    cell_policy policy;
+    engine_spec server;
+    server.id = backend_id{"booking-0"};
+    server.role = backend_role::plain;
+    server.slots = 2;
+    service_spec service;
+    service.id = service_id{"notes"};
+    service.urgent = {2s, 0ms, 1, 0};
+    cell_state state =
+        cell_builder{}.id(cell_id{"cell"}).engines({server}).services({service}).build(time.now());
+    for (const char* id : {"r1", "r2", "r3"}) {
+        request_spec spec = test_support::request(id, rank::urgent, time.now());
+        spec.prompt_tokens = 0;
+        spec.expected_output_tokens = 0;
+        REQUIRE(submit(state, policy, spec, time.now()));
+    }
+    const tick_output output = tick(state, policy, time.now());
+    REQUIRE(output.grants.size() == 2);
+    CHECK(output.grants[0].prefill.empty());
+}
--- /dev/null
+++ b/test/scheduling/fairness_invariant_test.cpp
@@ -0,0 +1,136 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "cicadahatch/core"
+#include "cicadahatch/scheduling"
+#include "test/support/scheduling_cell.hpp"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <map>
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace cicadahatch;
+using namespace cicadahatch::scheduling;
+
+/// A cell whose prefills take 150 ms and whose streams end 1 s after that.
+struct busy_cell_fixture {
+    manual_clock time;
+    cell_policy policy;
+    cell_state state = test_support::small_cell(time.now());
+    std::multimap<time_point, request_id> prefill_ends;
+    std::multimap<time_point, request_id> stream_ends;
+    std::map<team_id, double> granted_tokens;
+    std::map<rank, double> granted_seconds;
+    std::map<request_id, request_spec> asked;
+    duration longest_wait{0}; ///< of granted requests
+    std::size_t next = 0;
+
+    void ask(rank of, const std::string& team, std::uint32_t prompt_tokens) {
+        request_spec spec = test_support::request("r" + std::to_string(next++), of, time.now());
+        spec.team = team_id{team};
+        spec.prompt_tokens = prompt_tokens;
+        REQUIRE(submit(state, policy, spec, time.now()));
+        asked[spec.id] = spec;
+    }
+
+    std::size_t waiting(rank of) const { return state.ranks[rank_index(of)].waiting.requests; }
+
+    /// Keeps six requests of the team in the queue.
+    void keep_waiting(const std::string& team, std::uint32_t prompt_tokens) {
+        const rank_queue& queue = state.ranks[rank_index(rank::deferrable)];
+        const service_queue& service = *queue.services.find(service_id{"notes"});
+        const auto found = service.teams.find(team_id{team});
+        std::size_t count = found == service.teams.end() ? 0 : found->second.ahead.requests;
+        for (; count < 6; ++count) {
+            ask(rank::deferrable, team, prompt_tokens);
+        }
+    }
+
+    void end_due() {
+        while (!prefill_ends.empty() && prefill_ends.begin()->first <= time.now()) {
+            const request_id request = prefill_ends.begin()->second;
+            prefill_ends.erase(prefill_ends.begin());
+            prefill_finished(state, request, 0, time.now());
+            first_token(state, request, time.now());
+            stream_ends.emplace(time.now() + 1s, request);
+        }
+        while (!stream_ends.empty() && stream_ends.begin()->first <= time.now()) {
+            release(state, policy, stream_ends.begin()->second, outcome::completed, 200,
+                    time.now());
+            stream_ends.erase(stream_ends.begin());
+        }
+    }
+
+    void step() {
+        time.advance(tick_period);
+        end_due();
+        for (const grant& issued : tick(state, policy, time.now()).grants) {
+            const request_spec& spec = asked[issued.request];
+            const live_grant* held = state.grants.find(issued.request);
+            granted_tokens[spec.team] += spec.prompt_tokens;
+            granted_seconds[spec.rank] += held->cost;
+            longest_wait = std::max(longest_wait, time.now() - spec.arrived);
+            prefill_ends.emplace(time.now() + std::chrono::microseconds{spec.prompt_tokens * 25},
+                                 issued.request);
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(busy_cell_fixture, "floods of urgent, deferrable waits, it keeps its floor") {
+    double capacity = 0;
+    for (int count = 0; count < 4'000; ++count) {
+        while (waiting(rank::urgent) < 6) {
+            ask(rank::urgent, "u", 6'000);
+        }
+        while (waiting(rank::deferrable) < 6) {
+            ask(rank::deferrable, "d", 6'000);
+        }
+        step();
+        capacity += 0.005 * state.capacity.engine_seconds;
+    }
+    CHECK(granted_seconds[rank::deferrable] >= 0.9 * 0.25 * capacity);
+    CHECK(granted_seconds[rank::urgent] > granted_seconds[rank::deferrable]);
+}
+
+TEST_CASE_FIXTURE(busy_cell_fixture, "teams, one sends four times longer prompts, seconds equal") {
+    for (int count = 0; count < 4'000; ++count) {
+        keep_waiting("long", 8'000);
+        keep_waiting("short", 2'000);
+        step();
+    }
+    std::map<team_id, double> seconds = granted_tokens;
+    // A request costs its prefill and its decode; the decode is the same for both teams.
+    const double decode = 200 * 0.03 / 20;
+    const auto cost = [&](const std::string& team, double tokens) {
+        const double requests = seconds[team_id{team}] / tokens;
+        return requests * (tokens / 40'000 + decode);
+    };
+    CHECK(cost("long", 8'000) / cost("short", 2'000) == doctest::Approx(1).epsilon(0.15));
+}
+
+TEST_CASE_FIXTURE(busy_cell_fixture, "flood, nothing waits past its target, the rest is refused") {
+    std::size_t refused = 0;
+    for (int count = 0; count < 3'000; ++count) {
+        ask(rank::deferrable, "flood", 6'000);
+        time.advance(tick_period);
+        end_due();
+        const tick_output output = tick(state, policy, time.now());
+        for (const grant& issued : output.grants) {
+            longest_wait = std::max(longest_wait, time.now() - asked[issued.request].arrived);
+            prefill_ends.emplace(time.now() + 150ms, issued.request);
+        }
+        for (const refusal& refused_one : output.refusals) {
+            ++refused;
+            CHECK(refused_one.reason == errc::target_unreachable);
+            CHECK(refused_one.retry_after > 0ms);
+        }
+        for (const waiting_request& request : state.waiting.rows()) {
+            REQUIRE(time.now() - request.spec.arrived <= request.spec.first_token);
+        }
+    }
+    CHECK(refused > 1'000);
+    CHECK(longest_wait < 8s);
+}
