--- a/src/settings/internal/daemon_checks.cpp
+++ b/src/settings/internal/daemon_checks.cpp
@@ -19,12 +19,6 @@
     }
 }
 
-void check_needed_address(const listener& described, const std::string& path, fault_list& faults) {
-    if (described.address.empty()) {
-        faults.add(path + ".address", errc::missing_field, "numeric address and port 0 to 65535");
-    }
-}
-
 void check_distinct_addresses(const daemon_settings& described, fault_list& faults) {
     std::set<std::string> taken;
     const auto take = [&](const std::string& address, const std::string& path) {
@@ -43,8 +37,7 @@
     if (!described.peers.address.empty() && described.peer_secret.empty()) {
         faults.add("peer_secret", errc::missing_field, "16 to 256 bytes with a peers listener");
     }
-    if (!described.admin.address.empty() && !is_loopback(described.admin.address) &&
-        described.admin_token.empty()) {
+    if (!is_loopback(described.admin.address) && described.admin_token.empty()) {
         faults.add("admin_token", errc::missing_field,
                    "16 to 256 bytes unless the admin listener is on loopback");
     }
@@ -74,8 +67,6 @@
 } // namespace
 
 void check_daemon_settings(const daemon_settings& described, fault_list& faults) {
-    check_needed_address(described.callers, "callers", faults);
-    check_needed_address(described.admin, "admin", faults);
     check_listener(described.callers, "callers", faults);
     check_listener(described.admin, "admin", faults);
     check_listener(described.peers, "peers", faults);
--- a/src/settings/internal/daemon_fields.cpp
+++ b/src/settings/internal/daemon_fields.cpp
@@ -26,12 +26,9 @@
     return or_empty(text(min_secret_bytes, max_secret_bytes));
 }
 
-field_table<listener> listener_fields() {
+field_table<listener> listener_fields(field<listener> address) {
     return {
-        make_field(
-            "address", &listener::address, or_empty(place(false)),
-            "where it listens; port 0 picks a free one; only `peers` may be empty, which opens "
-            "no listener"),
+        std::move(address),
         make_field("threads", &listener::threads, integer(1, most_threads),
                    "worker threads; each open connection holds one"),
         make_field("tls_certificate", &listener::tls_certificate, file_name(),
@@ -42,6 +39,18 @@
     };
 }
 
+codec<listener> needed_listener() {
+    return object(listener_fields(make_field("address", &listener::address, place(false),
+                                             "where it listens; port 0 picks a free one",
+                                             presence::required)));
+}
+
+codec<listener> optional_listener() {
+    return object(listener_fields(
+        make_field("address", &listener::address, or_empty(place(false)),
+                   "where it listens; port 0 picks a free one; empty: no listener")));
+}
+
 field_table<policy_weights> weight_fields() {
     const auto weight = number(0.0, most_weight);
     return {
@@ -62,11 +71,9 @@
                    "name of the daemon, unique among all", presence::required),
         make_field("domain", &daemon_settings::domain, name<domain_id>(), "its failure domain",
                    presence::required),
-        make_field("callers", &daemon_settings::callers, object(listener_fields()), "",
-                   presence::required),
-        make_field("admin", &daemon_settings::admin, object(listener_fields()), "",
-                   presence::required),
-        make_field("peers", &daemon_settings::peers, object(listener_fields()), ""),
+        make_field("callers", &daemon_settings::callers, needed_listener(), "", presence::required),
+        make_field("admin", &daemon_settings::admin, needed_listener(), "", presence::required),
+        make_field("peers", &daemon_settings::peers, optional_listener(), ""),
         make_field("peer_secret", &daemon_settings::peer_secret, secret(),
                    "secret shared by all daemons; required with a `peers` listener"),
         make_field(
--- a/src/settings/internal/object.hpp
+++ b/src/settings/internal/object.hpp
@@ -93,8 +93,9 @@
     return json;
 }
 
-/// \returns the JSON text of a field's default
-[[nodiscard]] std::string render_default(const Json::Value& value);
+/// \param indentation of each level; empty: all on one line
+/// \returns the JSON text, the same for equal values
+[[nodiscard]] std::string render_json(const Json::Value& value, const std::string& indentation);
 
 /// \returns the descriptions of the fields and of all below them
 /// \param defaults gives the defaults
@@ -108,7 +109,7 @@
             own.path = entry.name;
             own.fallback = entry.needed == presence::required
                                ? "required"
-                               : render_default(entry.write(defaults));
+                               : render_json(entry.write(defaults), "");
             all.push_back(std::move(own));
         }
         for (field_description part : entry.parts) {
--- a/src/settings/service.cpp
+++ b/src/settings/service.cpp
@@ -4,8 +4,6 @@
 #include "src/settings/internal/document.hpp"
 #include "src/settings/internal/service_fields.hpp"
 
-#include <json/writer.h>
-
 namespace cicadahatch::settings {
 
 parsed<service> parse_service(std::string_view text, std::string_view source) {
@@ -25,12 +23,8 @@
 }
 
 std::string render_service(const service& described) {
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "  ";
-    builder["enableYAMLCompatibility"] = true; // no space before the colon
-    builder["emitUTF8"] = true;
     const Json::Value json = internal::write_object(internal::service_fields(), described);
-    return Json::writeString(builder, json) + "\n";
+    return internal::render_json(json, "  ") + "\n";
 }
 
 std::vector<field_description> describe_service() {
