--- a/src/settings/internal/object.hpp
+++ b/src/settings/internal/object.hpp
@@ -62,7 +62,7 @@
 void read_object(const field_table<Owner>& fields, const Json::Value& json, Owner& owner,
                  const std::string& path, fault_list& faults) {
     if (!json.isObject()) {
-        faults.add(path, errc::wrong_type, "object");
+        faults.add(path, errc::wrong_type, "an object with " + names_of(fields));
         return;
     }
     for (const std::string& name : json.getMemberNames()) {
@@ -126,6 +126,7 @@
 [[nodiscard]] codec<Owner> object(const field_table<Owner>& fields, const Owner& defaults = {}) {
     codec<Owner> made;
     made.type = "object";
+    made.accepted = "an object with " + names_of(fields);
     made.parts = describe(fields, defaults);
     made.read = [fields](const Json::Value& json, Owner& owner, const std::string& path,
                          fault_list& faults) { read_object(fields, json, owner, path, faults); };
--- a/test/settings/service_test.cpp
+++ b/test/settings/service_test.cpp
@@ -141,3 +141,13 @@
                                         R"("urgent_callers": ["0123456789abcdef\udc00"])",
                                         "urgent_callers[0]", errc::out_of_range});
 }
+
+TEST_CASE("parse_service, empty object, a fault for each required field says what is accepted") {
+    const auto parsed = settings::parse_service("{}", "a");
+    CHECK(parsed.errors.size() == 6);
+    for (const settings::field_error& fault : parsed.errors) {
+        CAPTURE(fault.field);
+        CHECK(fault.code == errc::missing_field);
+        CHECK_FALSE(fault.accepted.empty());
+    }
+}
