Serve the whole path in separate processes

Cause: nothing carried a request yet. Change: stand-in engines; engines module (prefill, KV import, token stream, cancels that are repeated until acknowledged); serving module: completions as server-sent events or whole, plain services with at-most-once claims, cells hosted by the scheduling tables, tickets that survive a change of home, admin listener, daemon and its program; tests with real processes. Ruled out: reading larger blocks of a token stream (CivetWeb blocks until they are full); a handler that waits for its backend server itself, which could not notice that the caller has left.

--- /dev/null
+++ b/programs/cicadahatchd.cpp
@@ -0,0 +1,125 @@
+#include "cicadahatch/core"
+#include "cicadahatch/serving"
+#include "cicadahatch/settings"
+
+#include <csignal>
+#include <cstdio>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <glog/logging.h>
+#include <iostream>
+#include <pthread.h>
+#include <sstream>
+
+/// \file
+/// \brief The daemon: reads its settings, serves until SIGTERM or SIGINT, then shuts down
+/// gracefully. A second signal ends it at once.
+
+namespace {
+
+using namespace cicadahatch;
+
+constexpr int exit_ok = 0;
+constexpr int exit_failed = 1;
+constexpr int exit_usage = 2;
+constexpr int exit_cut_off = 3; ///< the shutdown bound came before the last request's end
+
+struct arguments {
+    std::string settings_file;
+    bool is_check_only = false;
+};
+
+cxxopts::Options describe() {
+    cxxopts::Options described{"cicadahatchd", "Router for separate prefill and decode pools"};
+    auto add = described.add_options();
+    add("settings", "settings file (JSON with comments)", cxxopts::value<std::string>());
+    add("check-settings", "check the settings file and exit");
+    add("h,help", "show this help");
+    return described;
+}
+
+std::string read_file(const std::string& path) {
+    std::ifstream file{path};
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+sigset_t block_signals() {
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-cstyle-cast): the C library's macro has the cast
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+void start_logging(const char* program, const settings::daemon_settings& configured) {
+    FLAGS_minloglevel = configured.log_level;
+    if (configured.log_directory.empty()) {
+        FLAGS_logtostderr = true;
+    } else {
+        FLAGS_log_dir = configured.log_directory;
+    }
+    google::InitGoogleLogging(program);
+}
+
+/// A second signal during the shutdown ends the process at once.
+void allow_second_signal(const sigset_t& signals) {
+    pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+}
+
+int serve(const settings::daemon_settings& configured, const sigset_t& signals) {
+    const system_clock time;
+    auto running = serving::daemon_builder{}.settings(configured).time(time).build();
+    if (!running) {
+        LOG(ERROR) << "serving: can't start: " << running.error().message();
+        return exit_failed;
+    }
+    std::printf(
+        "ready callers=%s admin=%s peers=%s\n", to_string((*running)->callers_place()).c_str(),
+        to_string((*running)->admin_place()).c_str(), to_string((*running)->peers_place()).c_str());
+    std::fflush(stdout);
+    int received = 0;
+    sigwait(&signals, &received);
+    allow_second_signal(signals);
+    const bool is_whole = (*running)->shut_down();
+    google::FlushLogFiles(google::INFO);
+    // Threads that still wait for a dead backend server must not hold up the end.
+    std::_Exit(is_whole ? exit_ok : exit_cut_off);
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    cxxopts::Options described = describe();
+    arguments given;
+    try {
+        const auto parsed = described.parse(argc, argv);
+        if (parsed.count("help") != 0 || parsed.count("settings") == 0) {
+            std::cout << described.help();
+            return parsed.count("help") != 0 ? exit_ok : exit_usage;
+        }
+        given.settings_file = parsed["settings"].as<std::string>();
+        given.is_check_only = parsed.count("check-settings") != 0;
+    } catch (const cxxopts::exceptions::exception& fault) {
+        std::cerr << "cicadahatchd: " << fault.what() << "\n";
+        return exit_usage;
+    }
+    const auto configured =
+        settings::parse_daemon_settings(read_file(given.settings_file), given.settings_file);
+    for (const settings::field_error& fault : configured.errors) {
+        std::cerr << to_string(fault) << "\n";
+    }
+    if (!configured.is_valid()) {
+        return exit_failed;
+    }
+    if (given.is_check_only) {
+        return exit_ok;
+    }
+    const sigset_t signals = block_signals();
+    start_logging(argv[0], configured.value);
+    return serve(configured.value, signals);
+}
--- /dev/null
+++ b/src/engines/calls.cpp
@@ -0,0 +1,85 @@
+#include "src/engines/calls.hpp"
+
+#include "src/engines/constants.hpp"
+#include "src/engines/error.hpp"
+#include "src/engines/internal/answers.hpp"
+#include "src/engines/internal/requests.hpp"
+
+namespace cicadahatch::engines {
+
+namespace {
+
+using nlohmann::json;
+
+/// Fields are read only through this: a wrong type is a bad answer, not an exception.
+template <class T>
+T field(const json& content, const char* name, T absent) {
+    try {
+        return content.value(name, absent);
+    } catch (const json::exception&) {
+        return absent;
+    }
+}
+
+std::vector<model_id> models_of(const json& content) {
+    std::vector<model_id> models;
+    for (const std::string& name : field(content, "models", std::vector<std::string>{})) {
+        models.emplace_back(name);
+    }
+    return models;
+}
+
+load_report to_report(const json& content) {
+    load_report report;
+    report.started = incarnation{field(content, "incarnation", std::uint64_t{0})};
+    report.role = field(content, "role", std::string{});
+    report.is_leaving = field(content, "leaving", false);
+    report.running = field(content, "running", 0U);
+    report.slots = field(content, "slots", 0U);
+    report.kv_pieces_total = field(content, "kv_pieces_total", 0U);
+    report.kv_pieces_free = field(content, "kv_pieces_free", 0U);
+    report.tokens_per_piece = field(content, "tokens_per_piece", 0U);
+    report.prefill_tokens_per_second = field(content, "prefill_tokens_per_second", 0.0);
+    report.cache_sequence = field(content, "cache_sequence", std::uint64_t{0});
+    report.models = models_of(content);
+    return report;
+}
+
+} // namespace
+
+result<prefill_reply> prefill(const http::endpoint& place, const prefill_request& asked,
+                              std::chrono::milliseconds timeout) {
+    const auto content = internal::object_of(http::call(place, internal::to_http(asked), timeout));
+    if (!content) {
+        return tl::unexpected(content.error());
+    }
+    prefill_reply reply;
+    reply.kv_handle = field(*content, "kv", std::string{});
+    reply.prompt_tokens = field(*content, "prompt_tokens", 0U);
+    reply.cached_tokens = field(*content, "cached_tokens", 0U);
+    if (reply.kv_handle.empty()) {
+        return failure(errc::bad_answer);
+    }
+    return reply;
+}
+
+result<void> cancel(http::client_pool& pool, const http::endpoint& place,
+                    const attempt_id& attempt) {
+    const auto answer = pool.call(place, internal::to_cancel(attempt), control_timeout);
+    const auto content = internal::object_of(answer);
+    if (!content) {
+        return tl::unexpected(content.error());
+    }
+    return {};
+}
+
+result<load_report> fetch_load(http::client_pool& pool, const http::endpoint& place) {
+    const http::request sent{"GET", "/v1/load", "", {}, ""};
+    const auto content = internal::object_of(pool.call(place, sent, control_timeout));
+    if (!content) {
+        return tl::unexpected(content.error());
+    }
+    return to_report(*content);
+}
+
+} // namespace cicadahatch::engines
--- /dev/null
+++ b/src/engines/decode_stream.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "src/core/result.hpp"
+#include "src/engines/messages.hpp"
+#include "src/http/response_stream.hpp"
+
+#include <chrono>
+
+namespace cicadahatch::engines {
+
+/// \brief A token stream being read from a decode engine. Used by one thread.
+class decode_stream {
+public:
+    /// \brief Sends the request and waits until the engine has imported the KV cache.
+    /// \returns an open stream, or an error of engines::errc
+    [[nodiscard]] static result<decode_stream> open(const http::endpoint& place,
+                                                    const decode_request& asked,
+                                                    std::chrono::milliseconds timeout);
+
+    /// \brief Waits for the next frame.
+    /// \returns the frame, errc::stream_broken or errc::bad_frame
+    [[nodiscard]] result<frame> next();
+
+private:
+    explicit decode_stream(http::response_stream stream) : stream_(std::move(stream)) {}
+
+    http::response_stream stream_;
+};
+
+} // namespace cicadahatch::engines
--- /dev/null
+++ b/src/engines/frame.cpp
@@ -0,0 +1,51 @@
+#include "src/engines/frame.hpp"
+
+#include "src/engines/error.hpp"
+
+#include <limits>
+#include <nlohmann/json.hpp>
+
+namespace cicadahatch::engines {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view end_mark = "[DONE]";
+
+bool is_number(const json& data, const char* field) {
+    const auto found = data.find(field);
+    return found != data.end() && found->is_number_unsigned();
+}
+
+bool is_frame(const json& data) {
+    if (!data.is_object() || !is_number(data, "attempt") || !is_number(data, "position")) {
+        return false;
+    }
+    const auto text = data.find("text");
+    return text != data.end() && text->is_string();
+}
+
+} // namespace
+
+result<frame> parse_frame(std::string_view data) {
+    frame parsed;
+    if (data == end_mark) {
+        parsed.is_end = true;
+        return parsed;
+    }
+    const json content = json::parse(data, nullptr, false);
+    if (!is_frame(content)) {
+        return failure(errc::bad_frame);
+    }
+    const auto attempt = content["attempt"].get<std::uint64_t>();
+    if (attempt > std::numeric_limits<std::uint32_t>::max()) {
+        return failure(errc::bad_frame);
+    }
+    parsed.attempt = attempt_number{static_cast<std::uint32_t>(attempt)};
+    parsed.position = content["position"].get<std::uint64_t>();
+    parsed.text = content["text"].get<std::string>();
+    return parsed;
+}
+
+} // namespace cicadahatch::engines
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -57,6 +57,11 @@
     return send(bytes);
 }
 
+void exchange::abandon() {
+    has_begun_ = true;
+    mg_disable_connection_keep_alive(connection_);
+}
+
 bool exchange::send(std::string_view bytes) {
     const int written = mg_write(connection_, bytes.data(), bytes.size());
     return written == static_cast<int>(bytes.size());
--- a/src/http/exchange.hpp
+++ b/src/http/exchange.hpp
@@ -35,6 +35,10 @@
     /// \brief Sends bytes of the body begun by begin_stream(), in one write.
     bool write(std::string_view bytes);
 
+    /// \brief Ends the exchange without a response: the caller has gone, or must see a closed
+    /// connection.
+    void abandon();
+
 private:
     bool send(std::string_view bytes);
 
--- /dev/null
+++ b/src/serving/cell_host.cpp
@@ -0,0 +1,441 @@
+#include "src/serving/cell_host.hpp"
+
+#include "src/scheduling/cell_builder.hpp"
+#include "src/scheduling/cell_inputs.hpp"
+#include "src/scheduling/error.hpp"
+#include "src/scheduling/tick.hpp"
+#include "src/serving/internal/engine_specs.hpp"
+#include "src/serving/internal/wire_names.hpp"
+
+#include <algorithm>
+
+namespace cicadahatch::serving {
+
+using internal::attempt_of;
+using internal::cell_name;
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+scheduling::request_spec to_spec(const daemon_id& owner, const rpc::acquire& asked,
+                                 time_point now) {
+    scheduling::request_spec spec;
+    spec.id = cell_name(asked.request, asked.attempt);
+    spec.owner = owner;
+    spec.service = asked.service;
+    spec.model = asked.model;
+    spec.team = asked.team;
+    spec.rank = asked.work_rank;
+    spec.prompt_tokens = asked.prompt_tokens + asked.generated_tokens;
+    spec.expected_output_tokens = asked.expected_output_tokens;
+    spec.prefix_hashes = asked.prefix_hashes;
+    spec.arrived = now - asked.waited;
+    spec.first_token = asked.first_token_target;
+    spec.between_tokens = asked.between_tokens_target;
+    if (asked.gives_up_after.count() > 0) {
+        spec.deadline = now + asked.gives_up_after;
+    }
+    return spec;
+}
+
+rpc::granted to_granted(const cell_id& cell, const scheduling::grant& issued) {
+    const engines::attempt_id attempt = attempt_of(issued.request);
+    rpc::granted told;
+    told.request = attempt.request;
+    told.attempt = attempt.number;
+    told.cell = cell;
+    told.grant = issued.number;
+    told.prefill_backend = issued.prefill;
+    told.decode_backend = issued.decode;
+    told.expected_cached_tokens = issued.expected_cached_tokens;
+    told.kv_pieces = issued.pieces;
+    told.predicted_first_token = duration_cast<microseconds>(issued.predicted_first_token);
+    return told;
+}
+
+rpc::refused to_refused(const cell_id& cell, const scheduling::refusal& refusal) {
+    const engines::attempt_id attempt = attempt_of(refusal.request);
+    rpc::refused told;
+    told.request = attempt.request;
+    told.attempt = attempt.number;
+    told.cell = cell;
+    told.reason = internal::to_reason(refusal.reason);
+    told.retry_after = duration_cast<milliseconds>(refusal.retry_after);
+    return told;
+}
+
+rpc::grant_record to_record(const scheduling::live_grant& held, time_point now) {
+    const engines::attempt_id attempt = attempt_of(held.id);
+    rpc::grant_record record;
+    record.request = attempt.request;
+    record.attempt = attempt.number;
+    record.grant = held.issued.number;
+    record.holder = held.issued.owner;
+    record.service = held.service;
+    record.work_rank = held.rank;
+    record.prefill_backend = held.issued.prefill;
+    record.decode_backend = held.issued.decode;
+    record.expected_output_tokens = held.expected_output_tokens;
+    record.kv_pieces = held.issued.pieces;
+    record.between_tokens_target = duration_cast<microseconds>(held.between_tokens);
+    record.age = duration_cast<milliseconds>(now - held.granted_at);
+    return record;
+}
+
+scheduling::live_grant to_live(const daemon_id& owner, const rpc::grant_record& record,
+                               time_point now) {
+    scheduling::live_grant held;
+    held.id = cell_name(record.request, record.attempt);
+    held.issued.number = record.grant;
+    held.issued.request = held.id;
+    held.issued.owner = owner;
+    held.issued.prefill = record.prefill_backend;
+    held.issued.decode = record.decode_backend;
+    held.issued.pieces = record.kv_pieces;
+    held.service = record.service;
+    held.rank = record.work_rank;
+    held.stage = record.stage == rpc::grant_stage::decoding ? scheduling::stage::decode
+                                                            : scheduling::stage::prefill;
+    held.granted_at = now - record.age;
+    held.decode_began = now;
+    held.heard_at = now;
+    held.between_tokens = record.between_tokens_target;
+    held.expected_output_tokens = record.expected_output_tokens;
+    return held;
+}
+
+bool is_live(const std::vector<daemon_id>& live, const daemon_id& daemon) {
+    return std::find(live.begin(), live.end(), daemon) != live.end();
+}
+
+} // namespace
+
+cell_host::cell_host(const clock& time, scheduling::cell_policy policy,
+                     backend_directory& directory, engines::canceller& cancels, sender send)
+    : time_(time), policy_(policy), directory_(directory), cancels_(cancels),
+      send_(std::move(send)) {}
+
+std::vector<cell_status> cell_host::status() const {
+    const std::lock_guard lock{mutex_};
+    std::vector<cell_status> listed;
+    for (const auto& [id, cell] : cells_) {
+        cell_status one;
+        one.id = id;
+        one.model = cell.plan.model;
+        one.domain = cell.plan.domain;
+        one.engines = cell.state.engines.size();
+        one.waiting = cell.state.waiting.size();
+        one.granted = cell.state.grants.size();
+        one.is_registering = cell.state.home_since.has_value();
+        listed.push_back(one);
+    }
+    return listed;
+}
+
+bool cell_host::is_hosting(const cell_id& cell) const {
+    const std::lock_guard lock{mutex_};
+    return cells_.count(cell) != 0;
+}
+
+std::size_t cell_host::load() const {
+    const std::lock_guard lock{mutex_};
+    std::size_t total = 0;
+    for (const auto& [id, cell] : cells_) {
+        total += cell.state.waiting.size() + cell.state.grants.size();
+    }
+    return total;
+}
+
+cell_host::hosted_cell* cell_host::find(const cell_id& cell) {
+    const auto found = cells_.find(cell);
+    return found == cells_.end() ? nullptr : &found->second;
+}
+
+std::vector<scheduling::engine_spec> cell_host::specs_of(const cell_plan& plan) const {
+    std::vector<scheduling::engine_spec> specs;
+    for (const backend_row& server : plan.engines) {
+        specs.push_back(internal::to_spec(server));
+    }
+    return specs;
+}
+
+void cell_host::host(const cell_plan& plan, const std::vector<daemon_id>& peers) {
+    std::vector<outgoing> messages;
+    {
+        const std::lock_guard lock{mutex_};
+        const time_point now = time_.now();
+        const auto services = directory_.services();
+        const auto specs = services ? internal::services_of(*services, plan.model)
+                                    : std::vector<scheduling::service_spec>{};
+        const bool is_new = cells_.count(plan.id) == 0;
+        if (is_new) {
+            scheduling::cell_builder builder;
+            builder.id(plan.id).model(plan.model);
+            cells_[plan.id] = {plan, builder.build(now), 0};
+            scheduling::begin_home(cells_[plan.id].state, peers, now);
+            cancel_copied(plan.id, peers);
+            for (const daemon_id& peer : peers) {
+                outbox_.push_back({peer, rpc::request_registration{plan.id}});
+            }
+        }
+        hosted_cell& cell = cells_[plan.id];
+        cell.plan = plan;
+        scheduling::set_engines(cell.state, specs_of(plan), now);
+        scheduling::set_services(cell.state, specs);
+        for (const backend_row& server : plan.engines) {
+            if (!takes_work(server)) {
+                scheduling::mark_leaving(cell.state, server.id);
+            }
+        }
+        messages = take_outbox();
+    }
+    flush(std::move(messages));
+}
+
+void cell_host::cancel_copied(const cell_id& cell, const std::vector<daemon_id>& live) {
+    const auto copied = copied_.find(cell);
+    if (copied == copied_.end()) {
+        return;
+    }
+    for (const rpc::grant_record& record : copied->second) {
+        if (is_live(live, record.holder)) {
+            continue;
+        }
+        scheduling::grant orphaned;
+        orphaned.request = cell_name(record.request, record.attempt);
+        orphaned.prefill = record.prefill_backend;
+        orphaned.decode = record.decode_backend;
+        cancel_at_engines(orphaned);
+    }
+    copied_.erase(copied);
+}
+
+void cell_host::keep_only(const std::set<cell_id>& kept) {
+    std::vector<outgoing> messages;
+    {
+        const std::lock_guard lock{mutex_};
+        for (auto it = cells_.begin(); it != cells_.end();) {
+            if (kept.count(it->first) != 0) {
+                ++it;
+                continue;
+            }
+            for (const scheduling::waiting_request& row : it->second.state.waiting.rows()) {
+                scheduling::refusal sent_away{row.id, row.spec.owner, {}, {}};
+                rpc::refused told = to_refused(it->first, sent_away);
+                told.reason = rpc::refusal_reason::not_home;
+                outbox_.push_back({row.spec.owner, told});
+            }
+            it = cells_.erase(it);
+        }
+        messages = take_outbox();
+    }
+    flush(std::move(messages));
+}
+
+void cell_host::handle(const daemon_id& from, const rpc::message& received) {
+    std::vector<outgoing> messages;
+    {
+        const std::lock_guard lock{mutex_};
+        const auto dispatch = [&](const auto& what) {
+            if constexpr (requires { on(from, what); }) {
+                on(from, what);
+            }
+        };
+        std::visit(dispatch, received);
+        messages = take_outbox();
+    }
+    flush(std::move(messages));
+}
+
+void cell_host::refuse(const daemon_id& to, const rpc::acquire& asked, rpc::refusal_reason reason) {
+    rpc::refused told;
+    told.request = asked.request;
+    told.attempt = asked.attempt;
+    told.cell = asked.cell;
+    told.reason = reason;
+    outbox_.push_back({to, told});
+}
+
+void cell_host::on(const daemon_id& from, const rpc::acquire& asked) {
+    hosted_cell* cell = find(asked.cell);
+    if (cell == nullptr) {
+        return refuse(from, asked, rpc::refusal_reason::not_home);
+    }
+    // A repeated request whose grant's message was lost gets the same grant again.
+    const request_id name = cell_name(asked.request, asked.attempt);
+    if (const scheduling::live_grant* held = cell->state.grants.find(name)) {
+        return send_grant(asked.cell, held->issued);
+    }
+    const time_point now = time_.now();
+    const auto queued = scheduling::submit(cell->state, policy_, to_spec(from, asked, now), now);
+    if (!queued && queued.error() != scheduling::errc::duplicate_request) {
+        refuse(from, asked, internal::to_reason(queued.error()));
+    }
+}
+
+void cell_host::on(const daemon_id& from, const rpc::withdraw& gone) {
+    static_cast<void>(from);
+    if (hosted_cell* cell = find(gone.cell)) {
+        const request_id name = cell_name(gone.request, gone.attempt);
+        if (const auto released = scheduling::withdraw(cell->state, name, time_.now())) {
+            cancel_at_engines(*released);
+        }
+    }
+}
+
+void cell_host::on(const daemon_id& from, const rpc::release& ended) {
+    static_cast<void>(from);
+    if (hosted_cell* cell = find(ended.cell)) {
+        scheduling::release(cell->state, policy_, cell_name(ended.request, ended.attempt),
+                            internal::to_outcome(ended.outcome), ended.output_tokens, time_.now());
+    }
+}
+
+void cell_host::on(const daemon_id& from, const rpc::prefill_finished& done) {
+    static_cast<void>(from);
+    if (hosted_cell* cell = find(done.cell)) {
+        scheduling::prefill_finished(cell->state, cell_name(done.request, done.attempt),
+                                     done.cached_tokens, time_.now());
+    }
+}
+
+void cell_host::on(const daemon_id& from, const rpc::first_token& seen) {
+    static_cast<void>(from);
+    if (hosted_cell* cell = find(seen.cell)) {
+        scheduling::first_token(cell->state, cell_name(seen.request, seen.attempt), time_.now());
+    }
+}
+
+void cell_host::on(const daemon_id& from, const rpc::register_grants& held) {
+    hosted_cell* cell = find(held.cell);
+    if (cell == nullptr) {
+        return;
+    }
+    const time_point now = time_.now();
+    for (const rpc::grant_record& record : held.grants) {
+        scheduling::register_grant(cell->state, to_live(from, record, now), now);
+    }
+    if (held.is_last) {
+        scheduling::registration_finished(cell->state, from);
+    }
+}
+
+void cell_host::on(const daemon_id& from, const rpc::copy_grants& copied) {
+    static_cast<void>(from);
+    copied_[copied.cell] = copied.added;
+}
+
+void cell_host::renew(const std::vector<daemon_id>& live) {
+    const std::lock_guard lock{mutex_};
+    const time_point now = time_.now();
+    for (auto& [id, cell] : cells_) {
+        for (const daemon_id& daemon : live) {
+            scheduling::renew_owner(cell.state, daemon, now);
+        }
+    }
+}
+
+void cell_host::forget_daemon(const daemon_id& dead) {
+    const std::lock_guard lock{mutex_};
+    const time_point now = time_.now();
+    for (auto& [id, cell] : cells_) {
+        scheduling::registration_finished(cell.state, dead);
+        for (const scheduling::grant& released :
+             scheduling::withdraw_owner(cell.state, dead, now)) {
+            cancel_at_engines(released);
+        }
+    }
+}
+
+void cell_host::ingest_loads() {
+    const std::lock_guard lock{mutex_};
+    const time_point now = time_.now();
+    for (auto& [id, cell] : cells_) {
+        for (const backend_row& known : cell.plan.engines) {
+            const auto server = directory_.backend(known.id);
+            if (!server || server->started.empty()) {
+                continue;
+            }
+            scheduling::ingest_load(cell.state, internal::to_report(*server), now);
+            if (!takes_work(*server)) {
+                scheduling::mark_leaving(cell.state, server->id);
+            }
+        }
+    }
+}
+
+void cell_host::tick() {
+    std::vector<outgoing> messages;
+    {
+        const std::lock_guard lock{mutex_};
+        const time_point now = time_.now();
+        for (auto& [id, cell] : cells_) {
+            const scheduling::tick_output decided = scheduling::tick(cell.state, policy_, now);
+            for (const scheduling::grant& issued : decided.grants) {
+                send_grant(id, issued);
+            }
+            for (const scheduling::refusal& refusal : decided.refusals) {
+                outbox_.push_back({refusal.owner, to_refused(id, refusal)});
+            }
+            for (const scheduling::grant& reaped : decided.reaped) {
+                cancel_at_engines(reaped);
+            }
+        }
+        messages = take_outbox();
+    }
+    flush(std::move(messages));
+}
+
+void cell_host::copy_to(const std::map<cell_id, daemon_id>& successors) {
+    std::vector<outgoing> messages;
+    {
+        const std::lock_guard lock{mutex_};
+        const time_point now = time_.now();
+        for (auto& [id, cell] : cells_) {
+            const auto successor = successors.find(id);
+            if (successor == successors.end()) {
+                continue;
+            }
+            rpc::copy_grants copied;
+            copied.cell = id;
+            copied.sequence = ++cell.copies;
+            copied.is_whole = true;
+            for (const scheduling::live_grant& held : cell.state.grants.rows()) {
+                copied.added.push_back(to_record(held, now));
+            }
+            outbox_.push_back({successor->second, copied});
+        }
+        messages = take_outbox();
+    }
+    flush(std::move(messages));
+}
+
+void cell_host::send_grant(const cell_id& cell, const scheduling::grant& issued) {
+    outbox_.push_back({issued.owner, to_granted(cell, issued)});
+}
+
+void cell_host::cancel_at_engines(const scheduling::grant& released) {
+    const engines::attempt_id attempt = attempt_of(released.request);
+    for (const backend_id& engine : {released.prefill, released.decode}) {
+        if (const auto server = directory_.backend(engine)) {
+            cancels_.cancel(server->place, attempt);
+        }
+    }
+}
+
+std::vector<cell_host::outgoing> cell_host::take_outbox() {
+    std::vector<outgoing> taken;
+    taken.swap(outbox_);
+    return taken;
+}
+
+void cell_host::flush(std::vector<outgoing> messages) {
+    for (outgoing& one : messages) {
+        send_(one.to, std::move(one.sent));
+    }
+}
+
+} // namespace cicadahatch::serving
--- /dev/null
+++ b/src/serving/daemon.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "src/claims/claim_book.hpp"
+#include "src/configuration/holder.hpp"
+#include "src/core/result.hpp"
+#include "src/http/server.hpp"
+#include "src/metrics/registry.hpp"
+#include "src/serving/admin_handler.hpp"
+#include "src/serving/caller_handler.hpp"
+#include "src/serving/load_poller.hpp"
+#include "src/serving/peer_network.hpp"
+#include "src/serving/plain_handler.hpp"
+#include "src/serving/serving_context.hpp"
+
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+namespace cicadahatch::serving {
+
+/// \brief One daemon: listeners, the parts behind them and the threads that drive them.
+/// \sa daemon_builder
+class daemon {
+public:
+    daemon(const daemon&) = delete;
+    daemon& operator=(const daemon&) = delete;
+    daemon(daemon&&) = delete;
+    daemon& operator=(daemon&&) = delete;
+    ~daemon();
+
+    [[nodiscard]] const http::endpoint& callers_place() const { return callers_->place(); }
+    [[nodiscard]] const http::endpoint& admin_place() const { return admin_->place(); }
+    [[nodiscard]] const http::endpoint& peers_place() const;
+
+    /// \brief Leaves the balancer, refuses new work, hands cells over and waits for running
+    /// requests, for at most the bound of the settings.
+    /// \returns whether every request ended before the bound
+    bool shut_down();
+
+private:
+    friend class daemon_builder;
+    daemon(settings::daemon_settings configured, const clock& time);
+
+    [[nodiscard]] result<void> open();
+    void start_threads();
+    void follow_configuration();
+    void drive_cells();
+    void tend_claims();
+    void wait(std::chrono::milliseconds time);
+    [[nodiscard]] bool drain_backend(const backend_id& backend, bool is_drained);
+
+    settings::daemon_settings configured_;
+    const clock& time_;
+    incarnation started_;
+    std::unique_ptr<platform::store> store_;
+    configuration::holder configuration_;
+    backend_directory directory_;
+    engines::canceller cancels_;
+    metrics::request_recorder recorder_;
+    metrics::registry values_;
+    token_estimator estimator_;
+    request_naming naming_;
+    shared_retry_budget retries_;
+    drain_state drain_;
+    std::unique_ptr<claims::claim_book> claims_;
+    std::unique_ptr<peer_network> network_;
+    std::unique_ptr<grant_broker> broker_;
+    std::unique_ptr<attempt_runner> attempts_;
+    std::unique_ptr<serving_context> context_;
+    std::unique_ptr<plain_handler> plain_;
+    std::unique_ptr<caller_handler> caller_handler_;
+    std::unique_ptr<admin_handler> admin_handler_;
+    std::unique_ptr<load_poller> poller_;
+    std::unique_ptr<http::server> callers_;
+    std::unique_ptr<http::server> admin_;
+    std::mutex mutex_;
+    std::condition_variable stopping_;
+    std::atomic<bool> is_stopping_{false};
+    std::vector<std::thread> threads_;
+};
+
+/// \brief Builds a daemon.
+class daemon_builder {
+public:
+    daemon_builder& settings(settings::daemon_settings configured);
+    daemon_builder& time(const clock& source);
+
+    /// \returns a daemon that listens, or why it can't
+    [[nodiscard]] result<std::unique_ptr<daemon>> build() const;
+
+private:
+    settings::daemon_settings configured_;
+    const clock* time_ = nullptr;
+};
+
+} // namespace cicadahatch::serving
--- /dev/null
+++ b/src/serving/forward_declarations.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace cicadahatch::serving {
+
+class answer_assembler;
+class answer_writer;
+class attempt_runner;
+class backend_directory;
+class event_queue;
+class grant_broker;
+class worker_group;
+struct problem;
+
+} // namespace cicadahatch::serving
--- /dev/null
+++ b/src/serving/internal/wire_names.cpp
@@ -0,0 +1,70 @@
+#include "src/serving/internal/wire_names.hpp"
+
+#include "src/core/macros.hpp"
+#include "src/scheduling/error.hpp"
+
+#include <charconv>
+
+namespace cicadahatch::serving::internal {
+
+namespace {
+
+constexpr char separator = '#';
+
+} // namespace
+
+request_id cell_name(const request_id& request, attempt_number attempt) {
+    return request_id{request.str() + separator + std::to_string(attempt.value())};
+}
+
+engines::attempt_id attempt_of(const request_id& cell_name) {
+    const std::string& name = cell_name.str();
+    const std::size_t mark = name.rfind(separator);
+    CICADAHATCH_ASSERT(mark != std::string::npos, cell_name_holds_attempt);
+    std::uint32_t number = 0;
+    std::from_chars(name.data() + mark + 1, name.data() + name.size(), number);
+    return {request_id{name.substr(0, mark)}, attempt_number{number}};
+}
+
+scheduling::outcome to_outcome(rpc::release_outcome ended) {
+    switch (ended) {
+    case rpc::release_outcome::completed:
+        return scheduling::outcome::completed;
+    case rpc::release_outcome::prefill_failed:
+        return scheduling::outcome::prefill_failed;
+    case rpc::release_outcome::decode_failed:
+        return scheduling::outcome::decode_failed;
+    case rpc::release_outcome::caller_left:
+        return scheduling::outcome::caller_left;
+    case rpc::release_outcome::superseded:
+        return scheduling::outcome::superseded;
+    }
+    return scheduling::outcome::caller_left;
+}
+
+rpc::refusal_reason to_reason(const std::error_code& reason) {
+    switch (static_cast<scheduling::errc>(reason.value())) {
+    case scheduling::errc::queue_full:
+        return rpc::refusal_reason::queue_full;
+    case scheduling::errc::target_unreachable:
+        return rpc::refusal_reason::target_unreachable;
+    case scheduling::errc::deadline_passed:
+        return rpc::refusal_reason::deadline_passed;
+    case scheduling::errc::too_large:
+        return rpc::refusal_reason::too_large;
+    case scheduling::errc::no_engine:
+        return rpc::refusal_reason::no_engine;
+    case scheduling::errc::unknown_service:
+        return rpc::refusal_reason::unknown_service;
+    case scheduling::errc::duplicate_request:
+    case scheduling::errc::unknown_request:
+        return rpc::refusal_reason::duplicate_request;
+    case scheduling::errc::retry_budget_spent:
+        return rpc::refusal_reason::retry_budget_spent;
+    case scheduling::errc::registration_pending:
+        return rpc::refusal_reason::registration_pending;
+    }
+    return rpc::refusal_reason::no_engine;
+}
+
+} // namespace cicadahatch::serving::internal
--- /dev/null
+++ b/test/support/process.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "cicadahatch/core"
+#include "cicadahatch/http"
+
+#include <map>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace cicadahatch::test_support {
+
+/// \brief A program of this project that a test has started. It is killed on destruction.
+///
+/// The program prints a line `ready HOST:PORT`, or `ready NAME=HOST:PORT ...` for several
+/// listeners, once it listens.
+class process {
+public:
+    /// \brief Starts a program and waits for its ready line; stops the test if none comes.
+    /// \param arguments the program's path first
+    /// \param output file for standard error; empty: that of the test
+    explicit process(const std::vector<std::string>& arguments, const std::string& output = {});
+    process(process&& other) noexcept;
+    process& operator=(process&& other) noexcept;
+    process(const process&) = delete;
+    process& operator=(const process&) = delete;
+    ~process();
+
+    [[nodiscard]] pid_t id() const noexcept { return id_; }
+    /// \returns where the program listens
+    /// \param listener the listener's name; empty for a program with one
+    [[nodiscard]] const http::endpoint& place(const std::string& listener = {}) const;
+
+    void send_signal(int signal) const;
+    /// \brief Ends the program at once, as if its VM had died.
+    void kill();
+    /// \brief Waits for the program's end.
+    /// \returns its exit status, or 128 and more if a signal ended it
+    int wait();
+
+private:
+    void read_ready_line(int descriptor);
+
+    pid_t id_ = -1;
+    std::map<std::string, http::endpoint> places_;
+};
+
+/// \returns the path of a program of this build, such as "programs/cicadahatchd"
+[[nodiscard]] std::string built_program(const std::string& binary_dir, const std::string& name);
+
+} // namespace cicadahatch::test_support
