Let daemons share cells, configuration and what leaves

Cause: each daemon decided alone; two homes of a cell over-granted, only the store spread configuration, and a leaving backend server was known to the daemon that asked it. Ruled out: asking every engine from every daemon (at 410 daemons and 950 engines 1.6 million load calls a second at the present period): a home asks the engines of its cells, plain servers are shared out by rendezvous hashing. Laying out cells on every refresh: only when the configuration changed. Change: membership_network (messages, deaths, spread values), cell choice by spread digests, configuration from peers with a few watchers per domain, leaving and drained servers spread, platform VM list, store behind budget and circuit breaker.

--- a/src/serving/backend_directory.cpp
+++ b/src/serving/backend_directory.cpp
@@ -105,6 +105,18 @@
     return backends_.rows();
 }
 
+std::vector<backend_row>
+backend_directory::select(const std::function<bool(const backend_row&)>& is_wanted) const {
+    const std::lock_guard lock{mutex_};
+    std::vector<backend_row> selected;
+    for (const backend_row& row : backends_.rows()) {
+        if (is_wanted(row)) {
+            selected.push_back(row);
+        }
+    }
+    return selected;
+}
+
 void backend_directory::apply(revision accepted, std::shared_ptr<const service_map> services) {
     const std::lock_guard lock{mutex_};
     if (accepted <= configured_) {
--- a/src/serving/backend_directory.hpp
+++ b/src/serving/backend_directory.hpp
@@ -7,6 +7,7 @@
 #include "src/http/endpoint.hpp"
 #include "src/settings/service.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -48,6 +49,10 @@
     [[nodiscard]] std::optional<settings::service> service(const service_id& name) const;
     [[nodiscard]] std::optional<backend_row> backend(const backend_id& id) const;
     [[nodiscard]] std::vector<backend_row> backends() const;
+    /// \param is_wanted called with the lock held; must not call this object
+    /// \returns the backend servers for which it holds
+    [[nodiscard]] std::vector<backend_row>
+    select(const std::function<bool(const backend_row&)>& is_wanted) const;
 
     /// \brief Puts services into force. A lower revision than the present one is ignored.
     void apply(revision accepted, std::shared_ptr<const service_map> services);
--- a/src/serving/cell_host.cpp
+++ b/src/serving/cell_host.cpp
@@ -140,6 +140,26 @@
     return cells_.count(cell) != 0;
 }
 
+std::set<backend_id> cell_host::engines() const {
+    const std::lock_guard lock{mutex_};
+    std::set<backend_id> listed;
+    for (const auto& [id, cell] : cells_) {
+        for (const scheduling::engine& engine : cell.state.engines.rows()) {
+            listed.insert(engine.id);
+        }
+    }
+    return listed;
+}
+
+std::vector<scheduling::cell_digest> cell_host::digests() const {
+    const std::lock_guard lock{mutex_};
+    std::vector<scheduling::cell_digest> made;
+    for (const auto& [id, cell] : cells_) {
+        made.push_back(scheduling::make_digest(cell.state, cell.plan.domain, time_.now()));
+    }
+    return made;
+}
+
 std::size_t cell_host::load() const {
     const std::lock_guard lock{mutex_};
     std::size_t total = 0;
--- a/src/serving/cell_host.hpp
+++ b/src/serving/cell_host.hpp
@@ -3,6 +3,7 @@
 #include "src/core/clock.hpp"
 #include "src/engines/canceller.hpp"
 #include "src/rpc/messages.hpp"
+#include "src/scheduling/cell_choice.hpp"
 #include "src/scheduling/cell_policy.hpp"
 #include "src/scheduling/cell_state.hpp"
 #include "src/scheduling/grant.hpp"
@@ -42,6 +43,9 @@
 
     [[nodiscard]] std::vector<cell_status> status() const;
     [[nodiscard]] bool is_hosting(const cell_id& cell) const;
+    /// \returns the engines of all cells
+    [[nodiscard]] std::set<backend_id> engines() const;
+    [[nodiscard]] std::vector<scheduling::cell_digest> digests() const;
     /// \returns requests waiting and granted in all cells
     [[nodiscard]] std::size_t load() const;
 
--- a/src/serving/daemon.cpp
+++ b/src/serving/daemon.cpp
@@ -1,11 +1,14 @@
 #include "src/serving/daemon.hpp"
 
 #include "src/configuration/follower.hpp"
+#include "src/configuration/watchers.hpp"
 #include "src/core/constants.hpp"
+#include "src/core/hash.hpp"
 #include "src/core/macros.hpp"
 #include "src/platform/etcd_store.hpp"
+#include "src/platform/guarded_store.hpp"
+#include "src/scheduling/cell_home.hpp"
 #include "src/serving/constants.hpp"
-#include "src/serving/solo_network.hpp"
 
 #include <glog/logging.h>
 
@@ -16,12 +19,24 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds refresh_period{100};
+constexpr milliseconds digest_period{500};
+constexpr int digests_per_domain_digest = 10;
+constexpr milliseconds exchange_period{100};
 constexpr milliseconds watch_wait{2000};
 constexpr milliseconds watch_pause{200};
 constexpr milliseconds tend_period{2000};
 constexpr std::size_t tend_limit = 64;
+constexpr milliseconds vm_list_period{1000};
 constexpr milliseconds shutdown_look_period{20};
 
+/// What the platform takes from all daemons together.
+constexpr double platform_reads_per_second = 2000;
+constexpr double platform_writes_per_second = 300;
+/// Daemons that share the platform's rates at most.
+constexpr std::size_t daemons_sharing_platform = 410;
+/// A small fleet's daemon needs no more than this.
+constexpr double largest_daemon_rate = 50;
+
 incarnation next_incarnation(const clock& time) {
     const auto since = time.wall_now().time_since_epoch();
     const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(since).count();
@@ -39,16 +54,32 @@
     return scheduling::weighted_policy(weights, base);
 }
 
+std::vector<http::endpoint> to_places(const std::vector<std::string>& texts) {
+    std::vector<http::endpoint> places;
+    for (const std::string& text : texts) {
+        const auto place = http::parse_endpoint(text);
+        CICADAHATCH_ASSERT(place.has_value(), endpoints_of_settings_are_checked);
+        places.push_back(*place);
+    }
+    return places;
+}
+
 std::unique_ptr<platform::store> make_store(const settings::daemon_settings& configured) {
     platform::etcd_store_builder builder;
-    for (const std::string& text : configured.platform_endpoints) {
-        const auto place = http::parse_endpoint(text);
-        CICADAHATCH_ASSERT(place.has_value(), platform_endpoints_are_checked);
-        builder.add_endpoint(*place);
+    for (const http::endpoint& place : to_places(configured.platform_endpoints)) {
+        builder.add_endpoint(place);
     }
     return builder.build();
 }
 
+platform::call_budget budget_of_daemon() {
+    auto budget = platform::share_budget(platform_reads_per_second, platform_writes_per_second,
+                                         daemons_sharing_platform);
+    budget.read_burst = largest_daemon_rate;
+    budget.write_burst = largest_daemon_rate;
+    return budget;
+}
+
 std::shared_ptr<const service_map> to_services(const configuration::snapshot& accepted) {
     auto services = std::make_shared<service_map>();
     for (const auto& [name, held] : accepted.services()) {
@@ -72,12 +103,20 @@
         .build();
 }
 
+/// A drain holds for one incarnation of the backend server: "1:INCARNATION", or "0" to end it.
+std::string to_drain_value(bool is_drained, incarnation started) {
+    return is_drained ? "1:" + std::to_string(started.value()) : "0";
+}
+
 } // namespace
 
 daemon::daemon(settings::daemon_settings configured, const clock& time)
     : configured_(std::move(configured)), time_(time), started_(next_incarnation(time)),
-      store_(make_store(configured_)), cancels_(time), recorder_(time),
-      naming_(configured_.name, started_) {}
+      etcd_(make_store(configured_)),
+      store_(std::make_unique<platform::guarded_store>(*etcd_, time, budget_of_daemon(),
+                                                       platform::circuit_limits{},
+                                                       stable_hash(configured_.name.str()))),
+      cancels_(time), recorder_(time), naming_(configured_.name, started_) {}
 
 daemon::~daemon() {
     {
@@ -92,16 +131,14 @@
     admin_.reset();
 }
 
-const http::endpoint& daemon::peers_place() const {
-    return admin_->place();
-}
-
 result<void> daemon::open() {
-    configuration_.subscribe([this](const configuration::snapshot_ptr& accepted) {
-        directory_.apply(accepted->at(), to_services(*accepted));
-        LOG(INFO) << "configuration: revision " << accepted->at().value() << " in force";
-    });
-    network_ = std::make_unique<solo_network>(configured_.name);
+    configuration_.subscribe(
+        [this](const configuration::snapshot_ptr& accepted) { on_configuration(accepted); });
+    network_ = std::make_unique<membership_network>(configured_.name, make_events());
+    const auto send = [this](const daemon_id& to, rpc::message sent) {
+        network_->send(to, std::move(sent));
+    };
+    exchange_ = std::make_unique<configuration_exchange>(time_, configuration_, send);
     broker_ = std::make_unique<grant_broker>(time_, policy_of(configured_), directory_, cancels_,
                                              *network_, configured_.domain,
                                              configured_.max_engines_per_cell);
@@ -113,13 +150,11 @@
     plain_ = std::make_unique<plain_handler>(*context_, *claims_);
     caller_handler_ = std::make_unique<caller_handler>(
         *context_, *plain_, drain_, [this] { return callers_->capacity() - callers_->active(); });
-    admin_actions actions;
-    actions.drain_daemon = [this] { drain_.begin(); };
-    actions.drain_backend = [this](const backend_id& backend, bool is_drained) {
-        return drain_backend(backend, is_drained);
-    };
     admin_handler_ = std::make_unique<admin_handler>(*context_, *caller_handler_, drain_, *network_,
-                                                     values_, std::move(actions));
+                                                     values_, make_actions());
+    if (auto started = network_->start(configured_, started_, time_); !started) {
+        return started;
+    }
     auto admin = listen(configured_.admin, configured_.max_body_bytes,
                         [this](http::exchange& call) { admin_handler_->handle(call); });
     if (!admin) {
@@ -135,12 +170,114 @@
     return {};
 }
 
+network_events daemon::make_events() {
+    network_events events;
+    events.on_message = [this](const daemon_id& from, const rpc::message& received) {
+        on_message(from, received);
+    };
+    events.on_loss = [this](const std::vector<rpc::message>& lost) { broker_->note_lost(lost); };
+    events.on_death = [this](const daemon_id& dead) { broker_->forget_daemon(dead); };
+    events.on_payload = [this](const rpc::payload& value) { on_payload(value); };
+    events.on_replaced = [this] { drain_.begin(); };
+    return events;
+}
+
+admin_actions daemon::make_actions() {
+    admin_actions actions;
+    actions.drain_daemon = [this] {
+        drain_.begin();
+        network_->gossip().announce_leaving();
+    };
+    actions.drain_backend = [this](const backend_id& backend, bool is_drained) {
+        return drain_backend(backend, is_drained);
+    };
+    return actions;
+}
+
+void daemon::on_message(const daemon_id& from, const rpc::message& received) {
+    if (const auto* asked = std::get_if<rpc::fetch_configuration>(&received)) {
+        return exchange_->answer(from, *asked);
+    }
+    if (const auto* piece = std::get_if<rpc::configuration_shard>(&received)) {
+        return exchange_->take(from, *piece);
+    }
+    broker_->deliver(from, received);
+}
+
+void daemon::on_payload(const rpc::payload& value) {
+    switch (value.kind) {
+    case rpc::payload_kind::leaving_backend:
+        directory_.note_leaving(backend_id{value.key}, incarnation{value.version});
+        break;
+    case rpc::payload_kind::cell_digest:
+    case rpc::payload_kind::domain_digest:
+        if (auto digest = decode_digest(value.value, time_.now())) {
+            broker_->note_digest(std::move(*digest));
+        }
+        break;
+    case rpc::payload_kind::configuration_revision:
+        exchange_->note_revision(revision{value.version});
+        break;
+    case rpc::payload_kind::drain: {
+        const auto server = directory_.backend(backend_id{value.key});
+        const bool is_drained = value.value != to_drain_value(false, {});
+        const bool is_of_now = server && value.value == to_drain_value(true, server->started);
+        if (!is_drained || is_of_now || (server && server->started.empty())) {
+            directory_.drain(backend_id{value.key}, is_drained);
+        }
+        break;
+    }
+    }
+}
+
+void daemon::on_configuration(const configuration::snapshot_ptr& accepted) {
+    directory_.apply(accepted->at(), to_services(*accepted));
+    network_->gossip().set_payload(rpc::payload_kind::configuration_revision, "",
+                                   accepted->at().value(), "");
+    for (const auto kind : {rpc::payload_kind::leaving_backend, rpc::payload_kind::drain}) {
+        for (const rpc::payload& value : network_->gossip().payloads(kind)) {
+            on_payload(value);
+        }
+    }
+    LOG(INFO) << "configuration: revision " << accepted->at().value() << " in force";
+}
+
+bool daemon::drain_backend(const backend_id& backend, bool is_drained) {
+    const auto server = directory_.backend(backend);
+    if (!server) {
+        return false;
+    }
+    LOG(INFO) << "serving: backend server " << backend.str()
+              << (is_drained ? " drained" : " back in service");
+    const auto version = next_incarnation(time_).value();
+    network_->gossip().set_payload(rpc::payload_kind::drain, backend.str(), version,
+                                   to_drain_value(is_drained, server->started));
+    return directory_.drain(backend, is_drained);
+}
+
 void daemon::start_threads() {
     poller_ =
-        std::make_unique<load_poller>(time_, directory_, [](const backend_row&) { return true; });
+        std::make_unique<load_poller>(time_, directory_, [this] { return make_poll_filter(); });
+    poller_->on_leaving([this](const backend_id& backend, incarnation started) {
+        network_->gossip().announce_leaving_backend(backend, started);
+    });
     threads_.emplace_back([this] { follow_configuration(); });
+    threads_.emplace_back([this] { exchange_configuration(); });
     threads_.emplace_back([this] { drive_cells(); });
     threads_.emplace_back([this] { tend_claims(); });
+    threads_.emplace_back([this] { follow_vm_list(); });
+}
+
+/// A home asks the engines of its cells; plain servers are shared out over the domain's daemons.
+load_poller::filter daemon::make_poll_filter() const {
+    return [hosted = broker_->host().engines(), live = network_->live_daemons(configured_.domain),
+            self = configured_.name](const backend_row& server) {
+        if (server.role != backend_role::plain) {
+            return hosted.count(server.id) != 0;
+        }
+        const auto asker = scheduling::cell_homes(cell_id{server.id.str()}, live, 1);
+        return !server.is_reachable || asker.empty() || asker.front() == self;
+    };
 }
 
 void daemon::wait(milliseconds time) {
@@ -148,10 +285,37 @@
     stopping_.wait_for(lock, time, [this] { return is_stopping_.load(); });
 }
 
+std::vector<daemon_id> daemon::other_daemons() const {
+    std::vector<daemon_id> others = network_->live_daemons(configured_.domain);
+    std::erase(others, configured_.name);
+    if (!others.empty()) {
+        return others;
+    }
+    for (const domain_id& domain : network_->gossip().known_domains()) {
+        for (const daemon_id& far : network_->live_daemons(domain)) {
+            others.push_back(far);
+        }
+    }
+    return others;
+}
+
+bool daemon::is_watcher() {
+    std::vector<configuration::watch_candidate> live;
+    for (const daemon_id& id : network_->live_daemons(configured_.domain)) {
+        live.push_back({id, id != configured_.name || reaches_store_});
+    }
+    return configuration::is_watcher(configured_.name, live);
+}
+
 void daemon::follow_configuration() {
     configuration::follower follower{*store_, configuration_};
     while (!is_stopping_) {
+        if (configuration_.is_ready() && !is_watcher()) {
+            wait(watch_pause);
+            continue;
+        }
         const auto polled = follower.poll(watch_wait);
+        reaches_store_ = polled.has_value();
         if (!polled) {
             LOG_EVERY_N(WARNING, 50) << "configuration: store: " << polled.error().message();
             wait(watch_pause);
@@ -159,19 +323,44 @@
     }
 }
 
+void daemon::exchange_configuration() {
+    while (!is_stopping_) {
+        exchange_->tick(other_daemons());
+        wait(exchange_period);
+    }
+}
+
 void daemon::drive_cells() {
     time_point refreshed;
+    time_point spread;
     while (!is_stopping_) {
         const time_point now = time_.now();
         if (now - refreshed >= refresh_period) {
             refreshed = now;
             broker_->refresh();
         }
+        if (now - spread >= digest_period) {
+            spread = now;
+            spread_digests();
+        }
         broker_->tick();
         wait(cicadahatch::tick_period);
     }
 }
 
+void daemon::spread_digests() {
+    ++digest_round_;
+    const auto version = next_incarnation(time_).value();
+    for (const scheduling::cell_digest& digest : broker_->own_digests()) {
+        membership::agent& gossip = network_->gossip();
+        const std::string value = encode_digest(digest);
+        gossip.set_payload(rpc::payload_kind::cell_digest, digest.id.str(), version, value);
+        if (digest_round_ % digests_per_domain_digest == 1) {
+            gossip.set_payload(rpc::payload_kind::domain_digest, digest.id.str(), version, value);
+        }
+    }
+}
+
 void daemon::tend_claims() {
     while (!is_stopping_) {
         claims_->tend(tend_limit);
@@ -179,15 +368,40 @@
     }
 }
 
-bool daemon::drain_backend(const backend_id& backend, bool is_drained) {
-    LOG(INFO) << "serving: backend server " << backend.str()
-              << (is_drained ? " drained" : " back in service");
-    return directory_.drain(backend, is_drained);
+void daemon::follow_vm_list() {
+    platform::vm_list_client client{to_places(configured_.platform_endpoints)};
+    while (!is_stopping_) {
+        if (is_watcher()) {
+            if (const auto listed = client.fetch()) {
+                note_vms(*listed);
+            }
+        }
+        wait(vm_list_period);
+    }
+}
+
+void daemon::note_vms(const platform::vm_list& listed) {
+    for (const platform::virtual_machine& vm : listed) {
+        // A VM leaves once; what is restarted at its address later is another one.
+        if (vm.state != platform::vm_state::leaving || !vms_left_.insert(vm.id).second) {
+            continue;
+        }
+        const auto is_on_vm = [&](const backend_row& server) {
+            return to_string(server.place) == vm.address || server.place.host == vm.address;
+        };
+        for (const backend_row& server : directory_.select(is_on_vm)) {
+            if (directory_.note_leaving(server.id, server.started)) {
+                LOG(INFO) << "platform: backend server " << server.id.str() << " is leaving";
+                network_->gossip().announce_leaving_backend(server.id, server.started);
+            }
+        }
+    }
 }
 
 bool daemon::shut_down() {
     LOG(INFO) << "serving: shutting down";
     drain_.begin();
+    network_->gossip().announce_leaving();
     const time_point ends = time_.now() + configured_.shutdown_bound;
     while (callers_->active() > 0 || cancels_.pending() > 0) {
         if (time_.now() >= ends) {
@@ -196,6 +410,7 @@
         }
         wait(shutdown_look_period);
     }
+    network_->gossip().leave();
     LOG(INFO) << "serving: all requests ended";
     return true;
 }
--- a/src/serving/daemon.hpp
+++ b/src/serving/daemon.hpp
@@ -5,10 +5,13 @@
 #include "src/core/result.hpp"
 #include "src/http/server.hpp"
 #include "src/metrics/registry.hpp"
+#include "src/platform/store.hpp"
+#include "src/platform/vm_list.hpp"
 #include "src/serving/admin_handler.hpp"
 #include "src/serving/caller_handler.hpp"
+#include "src/serving/configuration_exchange.hpp"
 #include "src/serving/load_poller.hpp"
-#include "src/serving/peer_network.hpp"
+#include "src/serving/membership_network.hpp"
 #include "src/serving/plain_handler.hpp"
 #include "src/serving/serving_context.hpp"
 
@@ -16,6 +19,8 @@
 #include <condition_variable>
 #include <memory>
 #include <mutex>
+#include <set>
+#include <string>
 #include <thread>
 
 namespace cicadahatch::serving {
@@ -32,7 +37,7 @@
 
     [[nodiscard]] const http::endpoint& callers_place() const { return callers_->place(); }
     [[nodiscard]] const http::endpoint& admin_place() const { return admin_->place(); }
-    [[nodiscard]] const http::endpoint& peers_place() const;
+    [[nodiscard]] http::endpoint peers_place() const { return network_->place(); }
 
     /// \brief Leaves the balancer, refuses new work, hands cells over and waits for running
     /// requests, for at most the bound of the settings.
@@ -45,16 +50,30 @@
 
     [[nodiscard]] result<void> open();
     void start_threads();
+    [[nodiscard]] network_events make_events();
+    [[nodiscard]] admin_actions make_actions();
+    [[nodiscard]] load_poller::filter make_poll_filter() const;
+    void on_message(const daemon_id& from, const rpc::message& received);
+    void on_payload(const rpc::payload& value);
+    void on_configuration(const configuration::snapshot_ptr& accepted);
+    [[nodiscard]] bool is_watcher();
+    [[nodiscard]] std::vector<daemon_id> other_daemons() const;
     void follow_configuration();
+    void exchange_configuration();
     void drive_cells();
+    void spread_digests();
     void tend_claims();
+    void follow_vm_list();
+    void note_vms(const platform::vm_list& listed);
     void wait(std::chrono::milliseconds time);
     [[nodiscard]] bool drain_backend(const backend_id& backend, bool is_drained);
 
     settings::daemon_settings configured_;
     const clock& time_;
     incarnation started_;
-    std::unique_ptr<platform::store> store_;
+    std::unique_ptr<platform::store> etcd_;
+    std::unique_ptr<platform::store> store_; ///< etcd_ behind budget and circuit breaker
+    std::atomic<bool> reaches_store_{true};
     configuration::holder configuration_;
     backend_directory directory_;
     engines::canceller cancels_;
@@ -65,7 +84,8 @@
     shared_retry_budget retries_;
     drain_state drain_;
     std::unique_ptr<claims::claim_book> claims_;
-    std::unique_ptr<peer_network> network_;
+    std::unique_ptr<membership_network> network_;
+    std::unique_ptr<configuration_exchange> exchange_;
     std::unique_ptr<grant_broker> broker_;
     std::unique_ptr<attempt_runner> attempts_;
     std::unique_ptr<serving_context> context_;
@@ -75,6 +95,8 @@
     std::unique_ptr<load_poller> poller_;
     std::unique_ptr<http::server> callers_;
     std::unique_ptr<http::server> admin_;
+    std::uint64_t digest_round_ = 0; ///< used by the thread that drives the cells
+    std::set<std::string> vms_left_; ///< used by the thread that follows the VM list
     std::mutex mutex_;
     std::condition_variable stopping_;
     std::atomic<bool> is_stopping_{false};
--- a/src/serving/grant_broker.cpp
+++ b/src/serving/grant_broker.cpp
@@ -17,6 +17,9 @@
 
 constexpr std::chrono::milliseconds default_retry_after{500};
 
+/// Added to the time to first token by another failure domain: there and back, several calls.
+constexpr std::chrono::milliseconds domain_distance{10};
+
 problem to_problem(const rpc::refused& answer) {
     problem told;
     told.ran = execution::not_run;
@@ -80,7 +83,7 @@
                            peer_network& network, domain_id domain,
                            std::size_t max_engines_per_cell)
     : time_(time), network_(network), directory_(directory), domain_(std::move(domain)),
-      max_engines_per_cell_(max_engines_per_cell),
+      max_engines_per_cell_(max_engines_per_cell), random_(stable_hash(network.self().str())),
       host_(time, policy, directory, cancels,
             [this](const daemon_id& to, rpc::message sent) { send(to, std::move(sent)); }) {}
 
@@ -104,11 +107,8 @@
     daemon_id home;
     {
         const std::lock_guard lock{mutex_};
-        const cell_plan* plan = choose(asked);
-        if (plan != nullptr) {
-            asked.cell = plan->id;
-            home = home_of(plan->id);
-        }
+        asked.cell = choose(asked);
+        home = home_of(asked.cell);
     }
     auto ticket = std::make_shared<grant_ticket>(asked);
     if (home.empty()) {
@@ -130,20 +130,16 @@
     return laid_out_ != directory_.configured();
 }
 
-const cell_plan* grant_broker::choose(const rpc::acquire& asked) const {
-    std::vector<const cell_plan*> own;
-    std::vector<const cell_plan*> others;
-    for (const cell_plan& plan : plans_) {
-        const bool takes = std::any_of(plan.engines.begin(), plan.engines.end(), takes_work);
-        if (plan.model == asked.model && takes) {
-            (plan.domain == domain_ ? own : others).push_back(&plan);
-        }
-    }
-    const auto& candidates = own.empty() ? others : own;
-    if (candidates.empty()) {
-        return nullptr;
-    }
-    return candidates[stable_hash(asked.request.str()) % candidates.size()];
+cell_id grant_broker::choose(const rpc::acquire& asked) {
+    scheduling::choice_request wanted;
+    wanted.model = asked.model;
+    wanted.rank = asked.work_rank;
+    wanted.first_token = asked.first_token_target;
+    wanted.elapsed = asked.waited;
+    wanted.domain_distance = domain_distance;
+    const auto digests = digests_.digests_of(asked.model, idle_digests_);
+    const auto target = scheduling::choose_cell(digests, domain_, wanted, random_);
+    return target ? target->cell : cell_id{};
 }
 
 daemon_id grant_broker::home_of(const cell_id& cell) const {
@@ -301,15 +297,11 @@
 }
 
 void grant_broker::refresh() {
-    const revision configured = directory_.configured();
-    auto plans = lay_out_cells(directory_.backends(), max_engines_per_cell_);
-    const auto live = daemons_of(domain_);
-    {
-        const std::lock_guard lock{mutex_};
-        plans_ = plans;
-        laid_out_ = configured;
+    if (is_layout_stale()) {
+        lay_out();
     }
-    update_homes(plans, live);
+    const auto live = daemons_of(domain_);
+    update_homes(live);
     host_.renew(live);
     host_.ingest_loads();
     for (const ticket_row& row : stale_rows()) {
@@ -317,20 +309,55 @@
     }
 }
 
-void grant_broker::update_homes(const std::vector<cell_plan>& plans,
-                                const std::vector<daemon_id>& live) {
-    std::set<cell_id> hosted;
-    std::map<cell_id, daemon_id> successors;
+void grant_broker::lay_out() {
+    const revision configured = directory_.configured();
+    auto plans = lay_out_cells(directory_.backends(), max_engines_per_cell_);
+    std::vector<cell_id> names;
+    const std::lock_guard lock{mutex_};
+    idle_digests_.clear();
     for (const cell_plan& plan : plans) {
-        if (plan.domain != domain_) {
-            continue;
+        names.push_back(plan.id);
+        scheduling::cell_digest idle;
+        idle.id = plan.id;
+        idle.domain = plan.domain;
+        idle.model = plan.model;
+        idle_digests_.push_back(std::move(idle));
+    }
+    digests_.keep_only(names);
+    plans_ = std::move(plans);
+    laid_out_ = configured;
+}
+
+std::vector<cell_plan> grant_broker::own_plans() const {
+    const std::lock_guard lock{mutex_};
+    std::vector<cell_plan> own;
+    for (const cell_plan& plan : plans_) {
+        if (plan.domain == domain_) {
+            own.push_back(plan);
+        }
+    }
+    return own;
+}
+
+cell_plan grant_broker::with_present_state(cell_plan plan) const {
+    for (backend_row& server : plan.engines) {
+        if (auto present = directory_.backend(server.id)) {
+            server = std::move(*present);
         }
+    }
+    return plan;
+}
+
+void grant_broker::update_homes(const std::vector<daemon_id>& live) {
+    std::set<cell_id> hosted;
+    std::map<cell_id, daemon_id> successors;
+    for (const cell_plan& plan : own_plans()) {
         const auto homes = scheduling::cell_homes(plan.id, live, 2);
         if (homes.empty() || homes.front() != network_.self()) {
             continue;
         }
         hosted.insert(plan.id);
-        host_.host(plan, live);
+        host_.host(with_present_state(plan), live);
         if (homes.size() > 1) {
             successors[plan.id] = homes[1];
         }
@@ -339,6 +366,14 @@
     host_.copy_to(successors);
 }
 
+std::vector<scheduling::cell_digest> grant_broker::own_digests() {
+    auto own = host_.digests();
+    for (const scheduling::cell_digest& digest : own) {
+        digests_.note(digest);
+    }
+    return own;
+}
+
 std::vector<grant_broker::ticket_row> grant_broker::stale_rows() {
     const std::lock_guard lock{mutex_};
     const time_point now = time_.now();
--- a/src/serving/grant_broker.hpp
+++ b/src/serving/grant_broker.hpp
@@ -5,6 +5,7 @@
 #include "src/serving/backend_directory.hpp"
 #include "src/serving/cell_host.hpp"
 #include "src/serving/cell_layout.hpp"
+#include "src/serving/digest_book.hpp"
 #include "src/serving/grant_ticket.hpp"
 #include "src/serving/peer_network.hpp"
 
@@ -53,6 +54,12 @@
     /// \brief Frees what a dead daemon held in the cells of this home.
     void forget_daemon(const daemon_id& dead) { host_.forget_daemon(dead); }
 
+    /// \brief Takes in the digest of another daemon's cell.
+    void note_digest(scheduling::cell_digest told) { digests_.note(std::move(told)); }
+
+    /// \returns digests of the cells of this home, which are taken in here too
+    [[nodiscard]] std::vector<scheduling::cell_digest> own_digests();
+
     /// \brief Lays out the cells anew and takes, updates or gives up homes. Called about ten
     /// times a second and after changes.
     void refresh();
@@ -75,7 +82,7 @@
     void on(const rpc::refused& answer);
     void on(const rpc::request_registration& wanted, const daemon_id& from);
     [[nodiscard]] bool is_layout_stale() const;
-    [[nodiscard]] const cell_plan* choose(const rpc::acquire& asked) const;
+    [[nodiscard]] cell_id choose(const rpc::acquire& asked);
     [[nodiscard]] std::vector<daemon_id> daemons_of(const domain_id& domain) const;
     /// Called with the mutex held.
     [[nodiscard]] daemon_id home_of(const cell_id& cell) const;
@@ -83,20 +90,26 @@
     /// Lets the next refresh() send the ticket's request again, to the home of that time.
     void send_soon(const ticket_key& key);
     [[nodiscard]] std::shared_ptr<grant_ticket> ticket_of(const ticket_key& key);
+    void lay_out();
     [[nodiscard]] std::vector<ticket_row> stale_rows();
     void send_again(const ticket_row& row);
-    void update_homes(const std::vector<cell_plan>& plans, const std::vector<daemon_id>& live);
+    void update_homes(const std::vector<daemon_id>& live);
+    [[nodiscard]] std::vector<cell_plan> own_plans() const;
+    [[nodiscard]] cell_plan with_present_state(cell_plan plan) const;
 
     const clock& time_;
     peer_network& network_;
     backend_directory& directory_;
     domain_id domain_;
     std::size_t max_engines_per_cell_;
+    random_source random_; ///< guarded by the mutex
     cell_host host_;
+    digest_book digests_;
     mutable std::mutex mutex_;
     table<ticket_key, ticket_row> tickets_;
     std::vector<cell_plan> plans_;
-    revision laid_out_; ///< configuration that plans_ were made of
+    std::vector<scheduling::cell_digest> idle_digests_; ///< of plans_, for cells not heard of
+    revision laid_out_;                                 ///< configuration that plans_ were made of
 };
 
 } // namespace cicadahatch::serving
--- a/src/serving/load_poller.cpp
+++ b/src/serving/load_poller.cpp
@@ -11,7 +11,6 @@
 constexpr int worker_count = 4;
 constexpr int misses_until_unreachable = 2;
 constexpr std::chrono::milliseconds idle_wait{20};
-constexpr std::size_t batch_per_worker = 1;
 
 /// A plain service need not know the load call; any answer shows that it is there.
 bool is_known_to_answer(const backend_row& server, const std::error_code& error) {
@@ -22,8 +21,8 @@
 } // namespace
 
 load_poller::load_poller(const clock& time, backend_directory& directory,
-                         std::function<bool(const backend_row&)> is_wanted)
-    : time_(time), directory_(directory), is_wanted_(std::move(is_wanted)) {
+                         std::function<filter()> make_filter)
+    : time_(time), directory_(directory), make_filter_(std::move(make_filter)) {
     for (int worker = 0; worker < worker_count; ++worker) {
         workers_.emplace_back([this] { run(); });
     }
@@ -46,23 +45,30 @@
 }
 
 std::vector<backend_row> load_poller::due() {
-    const std::vector<backend_row> servers = directory_.backends();
-    const time_point now = time_.now();
     const std::lock_guard lock{mutex_};
+    const time_point now = time_.now();
+    if (now >= next_look_) {
+        next_look_ = now + idle_wait;
+        look(now);
+    }
     std::vector<backend_row> taken;
-    for (const backend_row& server : servers) {
+    if (!waiting_.empty()) {
+        taken.push_back(std::move(waiting_.front()));
+        waiting_.pop_front();
+    }
+    return taken;
+}
+
+void load_poller::look(time_point now) {
+    const filter is_wanted = make_filter_();
+    const auto is_due = [&](const backend_row& server) {
         const auto next = next_.find(server.id);
-        const bool is_due = next == next_.end() || next->second <= now;
-        if (!is_due || !is_wanted_(server)) {
-            continue;
-        }
+        return (next == next_.end() || next->second <= now) && is_wanted(server);
+    };
+    for (backend_row& server : directory_.select(is_due)) {
         next_[server.id] = now + load_poll_period;
-        taken.push_back(server);
-        if (taken.size() >= batch_per_worker) {
-            break;
-        }
+        waiting_.push_back(std::move(server));
     }
-    return taken;
 }
 
 void load_poller::run() {
--- a/src/serving/load_poller.hpp
+++ b/src/serving/load_poller.hpp
@@ -5,6 +5,7 @@
 #include "src/serving/backend_directory.hpp"
 
 #include <condition_variable>
+#include <deque>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -19,9 +20,12 @@
 /// A server that does not answer several times in a row counts as unreachable until it answers.
 class load_poller {
 public:
-    /// \param is_wanted which servers this daemon has to ask
+    /// \brief Tells which servers this daemon has to ask; must not call the directory.
+    using filter = std::function<bool(const backend_row&)>;
+
+    /// \param make_filter called before each look at the directory
     load_poller(const clock& time, backend_directory& directory,
-                std::function<bool(const backend_row&)> is_wanted);
+                std::function<filter()> make_filter);
     load_poller(const load_poller&) = delete;
     load_poller& operator=(const load_poller&) = delete;
     load_poller(load_poller&&) = delete;
@@ -35,16 +39,19 @@
     void run();
     void poll(const backend_row& server);
     [[nodiscard]] std::vector<backend_row> due();
+    void look(time_point now);
     void finish(const backend_id& id, bool is_answered);
 
     const clock& time_;
     backend_directory& directory_;
-    std::function<bool(const backend_row&)> is_wanted_;
+    std::function<filter()> make_filter_;
     std::function<void(const backend_id&, incarnation)> on_leaving_;
     http::client_pool pool_;
     std::mutex mutex_;
     std::condition_variable stopping_;
     bool is_stopping_ = false;
+    time_point next_look_;
+    std::deque<backend_row> waiting_;
     std::map<backend_id, time_point> next_;
     std::map<backend_id, int> misses_;
     std::vector<std::thread> workers_;
--- a/test/support/cluster.hpp
+++ b/test/support/cluster.hpp
@@ -45,7 +45,7 @@
     void publish_all();
 
     /// \brief Waits until all daemons have a configuration with these services and each reports
-    /// its engines as taking work.
+    /// its engines as taking work, and all know each other.
     [[nodiscard]] bool wait_until_ready();
 
     /// \returns the total of a field over the records of all backend servers of a service
