--- a/src/scheduling/cell_inputs.cpp
+++ b/src/scheduling/cell_inputs.cpp
@@ -269,6 +269,7 @@
     if (now - report.taken_at > stream_memory) {
         return;
     }
+    on->reported_at = report.taken_at;
     const std::uint32_t own = own_streams_at(*on, report.taken_at);
     on->foreign_streams = report.running > own ? report.running - own : 0;
     // Memory can't be told apart while streams of ours began or ended since the report.
--- a/src/scheduling/engine.hpp
+++ b/src/scheduling/engine.hpp
@@ -95,6 +95,7 @@
     std::uint32_t foreign_pieces = 0;
     time_point foreign_prefill_until;
     std::uint64_t report_sequence = 0;
+    time_point reported_at;               ///< when the last report was taken
     std::deque<time_point> recent_begins; ///< first tokens of own streams, oldest first
     std::deque<time_point> recent_ends;   ///< ends of own streams past their first token
 
--- a/src/scheduling/systems/predict.cpp
+++ b/src/scheduling/systems/predict.cpp
@@ -108,9 +108,20 @@
         std::clamp(queue.credit + owed_rate * elapsed, -largest * largest_debt_part, largest);
 }
 
+/// Load of others that no report confirms any more must not close an engine for good.
+void forget_old_reports(cell_state& state, time_point now) {
+    for (engine& on : state.engines.rows()) {
+        if (now - on.reported_at > stream_memory) {
+            on.foreign_streams = 0;
+            on.foreign_pieces = 0;
+        }
+    }
+}
+
 } // namespace
 
 void predict(cell_state& state, const cell_policy& policy, time_point now) {
+    forget_old_reports(state, now);
     internal::review_health(state, policy, now);
     state.capacity = measure_capacity(state);
     const double elapsed = internal::to_seconds(now - state.last_tick);
--- a/test/scheduling/engine_view_test.cpp
+++ b/test/scheduling/engine_view_test.cpp
@@ -157,6 +157,14 @@
     CHECK(state.engines.find(issued.decode)->foreign_streams == 0);
 }
 
+TEST_CASE_FIXTURE(two_prefill_fixture, "load report, none follows, foreign load is forgotten") {
+    ingest_load(state, report("decode-0", 1, 20), time.now());
+    step(4s);
+    CHECK(at("decode-0").foreign_streams == 20);
+    step(2s);
+    CHECK(at("decode-0").foreign_streams == 0);
+}
+
 TEST_CASE_FIXTURE(two_prefill_fixture, "load report, older than the last, ignored") {
     ingest_load(state, report("decode-0", 5, 3), time.now());
     ingest_load(state, report("decode-0", 4, 19), time.now());
