--- /dev/null
+++ b/src/configuration/watchers.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "src/configuration/constants.hpp"
+#include "src/core/identifiers.hpp"
+
+#include <vector>
+
+namespace cicadahatch::configuration {
+
+/// \brief A live daemon of the failure domain.
+struct watch_candidate {
+    daemon_id id;
+    bool reaches_store = true; ///< as the daemon itself last reported
+};
+
+/// \brief Whether a daemon is among those that watch the store for their failure domain.
+///
+/// The ones chosen are the first by rendezvous rank, so each daemon that leaves or joins changes
+/// one place at most. Daemons that don't reach the store come last. A daemon whose view of the
+/// members differs for a while only watches beside the others.
+/// \param live the live daemons of the domain; self counts as live even if missing
+[[nodiscard]] bool is_watcher(const daemon_id& self, const std::vector<watch_candidate>& live,
+                              std::size_t watchers = watchers_per_domain);
+
+} // namespace cicadahatch::configuration
--- a/src/platform/forward_declarations.hpp
+++ b/src/platform/forward_declarations.hpp
@@ -2,6 +2,8 @@
 
 namespace cicadahatch::platform {
 
+class guarded_store;
+class resuming_watch;
 class store;
 class etcd_store;
 class etcd_store_builder;
--- /dev/null
+++ b/src/platform/resuming_watch.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "src/platform/store.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cicadahatch::platform {
+
+/// \brief What a resuming watch saw: all keys, or the changes since the update before.
+struct watch_update {
+    bool is_whole = false;
+    std::vector<entry> entries;  ///< if whole: every key below the prefix; others are gone
+    std::vector<change> changes; ///< if not whole, in their order
+};
+
+/// \brief Follows the keys below a prefix without missing a change.
+///
+/// It lists, then watches from the revision after the listing. A failure keeps its place; if the
+/// store has compacted that place away it lists again. Used by one thread at a time.
+class resuming_watch {
+public:
+    resuming_watch(store& kept, std::string prefix) : kept_(kept), prefix_(std::move(prefix)) {}
+
+    /// \brief Waits for the next update; an empty one if nothing changed within the time.
+    /// After an error the caller pauses and calls again.
+    [[nodiscard]] result<watch_update> poll(std::chrono::milliseconds wait);
+
+    /// \brief Has the next poll list again.
+    void restart() { next_ = {}; }
+
+private:
+    [[nodiscard]] result<watch_update> list();
+
+    store& kept_;
+    std::string prefix_;
+    revision next_; ///< empty: list first
+};
+
+} // namespace cicadahatch::platform
--- /dev/null
+++ b/src/platform/token_bucket.cpp
@@ -0,0 +1,27 @@
+#include "src/platform/token_bucket.hpp"
+
+#include <algorithm>
+
+namespace cicadahatch::platform {
+
+void refill(token_bucket& bucket, time_point now) {
+    const std::chrono::duration<double> passed = now - bucket.filled_at;
+    bucket.tokens = std::min(bucket.burst, bucket.tokens + passed.count() * bucket.per_second);
+    bucket.filled_at = now;
+}
+
+bool try_take(token_bucket& bucket, time_point now) {
+    refill(bucket, now);
+    if (bucket.tokens < 1.0) {
+        return false;
+    }
+    bucket.tokens -= 1.0;
+    return true;
+}
+
+void drain(token_bucket& bucket, time_point now) {
+    bucket.tokens = 0.0;
+    bucket.filled_at = now;
+}
+
+} // namespace cicadahatch::platform
