--- a/src/configuration/constants.hpp
+++ b/src/configuration/constants.hpp
@@ -19,6 +19,10 @@
 /// How many revisions back deletions are remembered, so that a peer can be sent the changes alone.
 inline constexpr std::uint64_t kept_tombstone_revisions = 10'000;
 
+/// How many earlier contents of a service are remembered by their hash, so that a set made from
+/// an older revision shows which services its operator left as they were.
+inline constexpr std::size_t past_contents_kept = 8;
+
 /// How many accepted changes the head names, so that a publisher whose reply was lost finds its
 /// own.
 inline constexpr std::size_t recent_changes_kept = 64;
--- a/src/configuration/follower.cpp
+++ b/src/configuration/follower.cpp
@@ -68,7 +68,7 @@
         watch_.restart();
         return tl::unexpected(whole.error());
     }
-    return own_.offer(std::move(*whole));
+    return own_.offer(*whole);
 }
 
 std::error_code follower::read_missing(const internal::head& read) {
@@ -104,7 +104,7 @@
     if (!listed) {
         return listed.error();
     }
-    auto shards = internal::decode_shards(read, listed->entries);
+    auto shards = internal::decode_shards(read, listed->entries, shards_);
     if (!shards) {
         return shards.error();
     }
--- a/src/configuration/holder.cpp
+++ b/src/configuration/holder.cpp
@@ -14,7 +14,7 @@
     return held ? held->at() : revision{};
 }
 
-bool holder::offer(snapshot_ptr offered) {
+bool holder::offer(const snapshot_ptr& offered) {
     const std::lock_guard order{offering_};
     {
         const std::lock_guard lock{mutex_};
--- a/src/configuration/holder.hpp
+++ b/src/configuration/holder.hpp
@@ -24,7 +24,7 @@
 
     /// \brief Takes a snapshot if its revision is higher.
     /// \returns whether it was taken; observers have been called then
-    bool offer(snapshot_ptr offered);
+    bool offer(const snapshot_ptr& offered);
 
     /// \brief Has a function called with each snapshot taken from now on, in their order, on the
     /// offering thread. It must not call offer() or subscribe().
--- a/src/configuration/internal/layout.cpp
+++ b/src/configuration/internal/layout.cpp
@@ -143,7 +143,8 @@
 
 revision target_of(const std::string& key) {
     const std::string prefix = shard_prefix;
-    if (key.compare(0, prefix.size(), prefix) != 0 || key.size() < prefix.size() + revision_digits) {
+    if (key.compare(0, prefix.size(), prefix) != 0 ||
+        key.size() < prefix.size() + revision_digits) {
         return {};
     }
     std::uint64_t number = 0;
@@ -177,13 +178,19 @@
     return whole;
 }
 
-result<shard_map> decode_shards(const head& read, const std::vector<platform::entry>& entries) {
+result<shard_map> decode_shards(const head& read, const std::vector<platform::entry>& entries,
+                                const shard_map& known) {
     const std::set<std::string> named{read.shards.begin(), read.shards.end()};
     shard_map shards;
     for (const platform::entry& listed : entries) {
         if (named.count(listed.key) == 0) {
             continue;
         }
+        const auto before = known.find(listed.key);
+        if (before != known.end()) {
+            shards.emplace(*before);
+            continue;
+        }
         auto part = decode_shard(listed.value);
         if (!part) {
             return tl::unexpected(part.error());
@@ -193,7 +200,7 @@
     return shards;
 }
 
-result<stored> decode_listing(const std::vector<platform::entry>& entries) {
+result<stored> decode_listing(const std::vector<platform::entry>& entries, const shard_map& known) {
     stored found;
     const auto at_head = std::find_if(entries.begin(), entries.end(),
                                       [](const auto& listed) { return listed.key == head_key; });
@@ -204,7 +211,7 @@
     if (!read) {
         return tl::unexpected(read.error());
     }
-    const auto shards = decode_shards(*read, entries);
+    auto shards = decode_shards(*read, entries, known);
     if (!shards) {
         return tl::unexpected(shards.error());
     }
@@ -215,6 +222,7 @@
     found.head_modified = at_head->modified;
     found.read = std::move(*read);
     found.whole = std::move(*whole);
+    found.shards = std::move(*shards);
     return found;
 }
 
--- a/src/configuration/internal/layout.hpp
+++ b/src/configuration/internal/layout.hpp
@@ -23,7 +23,7 @@
     revision at;
     revision tombstones_since;
     std::uint64_t fingerprint = 0;
-    std::vector<std::string> shards; ///< key of each shard; empty: the shard holds nothing
+    std::vector<std::string> shards;   ///< key of each shard; empty: the shard holds nothing
     std::vector<recent_change> recent; ///< newest last
 };
 
@@ -64,17 +64,22 @@
 [[nodiscard]] result<snapshot_ptr> assemble(const head& read, const shard_map& shards);
 
 /// \brief Decodes the entries that a head names.
+/// \param known shards decoded earlier; a key never changes its value
 /// \returns the shards found, or errc::malformed
 [[nodiscard]] result<shard_map> decode_shards(const head& read,
-                                              const std::vector<platform::entry>& entries);
+                                              const std::vector<platform::entry>& entries,
+                                              const shard_map& known);
 
 /// \brief What a listing of all configuration keys holds.
 struct stored {
     revision head_modified; ///< empty: nothing was published
     head read;
     snapshot_ptr whole; ///< null: nothing was published
+    shard_map shards;
 };
 
-[[nodiscard]] result<stored> decode_listing(const std::vector<platform::entry>& entries);
+/// \param known shards decoded earlier
+[[nodiscard]] result<stored> decode_listing(const std::vector<platform::entry>& entries,
+                                            const shard_map& known = {});
 
 } // namespace cicadahatch::configuration::internal
--- a/src/configuration/internal/records.cpp
+++ b/src/configuration/internal/records.cpp
@@ -14,6 +14,16 @@
     return found == object.end() || !found->is_array() ? empty : *found;
 }
 
+std::vector<past_content> decode_history(const json& object) {
+    std::vector<past_content> history;
+    for (const json& past : array_at(object, "history")) {
+        if (past.is_object()) {
+            history.push_back({revision{number_at(past, "changed")}, number_at(past, "hash")});
+        }
+    }
+    return history;
+}
+
 std::shared_ptr<const accepted_service> decode_service(const json& object) {
     if (!object.is_object()) {
         return nullptr;
@@ -22,6 +32,7 @@
     accepted.text = text_at(object, "text");
     accepted.created = revision{number_at(object, "created")};
     accepted.changed = revision{number_at(object, "changed")};
+    accepted.history = decode_history(object);
     auto parsed = settings::parse_service(accepted.text, "configuration");
     const bool is_complete = !accepted.created.empty() && accepted.changed >= accepted.created;
     if (!parsed.is_valid() || !is_complete) {
@@ -46,9 +57,14 @@
 }
 
 json encode_service(const accepted_service& accepted) {
+    json history = json::array();
+    for (const past_content& past : accepted.history) {
+        history.push_back({{"changed", past.changed.value()}, {"hash", past.text_hash}});
+    }
     return {{"text", accepted.text},
             {"created", accepted.created.value()},
-            {"changed", accepted.changed.value()}};
+            {"changed", accepted.changed.value()},
+            {"history", std::move(history)}};
 }
 
 json encode_tombstone(const service_id& name, revision erased) {
--- a/src/configuration/peer_exchange.cpp
+++ b/src/configuration/peer_exchange.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-using nlohmann::json;
 using internal::number_at;
+using nlohmann::json;
 
 /// Adds the changes to what is held. A record of the message replaces an older one.
 result<snapshot_ptr> apply_message(const snapshot_ptr& held, const json& message) {
@@ -92,7 +92,7 @@
     if (!merged) {
         return tl::unexpected(merged.error());
     }
-    return own.offer(std::move(*merged));
+    return own.offer(*merged);
 }
 
 } // namespace cicadahatch::configuration
--- a/src/configuration/plan.cpp
+++ b/src/configuration/plan.cpp
@@ -2,6 +2,7 @@
 
 #include "src/configuration/constants.hpp"
 #include "src/configuration/error.hpp"
+#include "src/core/hash.hpp"
 #include "src/core/macros.hpp"
 
 #include <algorithm>
@@ -21,6 +22,23 @@
     return field;
 }
 
+/// Whether the wanted text is what the service was at the base revision.
+bool is_as_at(const accepted_service& theirs, const std::string& wanted, revision base) {
+    const auto& history = theirs.history;
+    const auto past = std::find_if(history.rbegin(), history.rend(),
+                                   [&](const auto& content) { return content.changed <= base; });
+    return past != history.rend() && past->text_hash == stable_hash(wanted);
+}
+
+std::vector<past_content> extend_history(const accepted_service& before) {
+    std::vector<past_content> history = before.history;
+    history.push_back({before.changed, stable_hash(before.text)});
+    if (history.size() > past_contents_kept) {
+        history.erase(history.begin());
+    }
+    return history;
+}
+
 /// Collects a plan service by service.
 class planner {
 public:
@@ -73,11 +91,14 @@
             return;
         }
         differences_.push_back({wanted.name, difference_kind::created, {}});
-        set(wanted, std::move(text), next_revision());
+        set(wanted, std::move(text), next_revision(), {});
     }
 
     void replace(const accepted_service& theirs, const settings::service& wanted,
                  std::string text) {
+        if (theirs.changed > base_ && is_as_at(theirs, text, base_)) {
+            return;
+        }
         std::vector<std::string> fields = differing_fields(theirs.text, text);
         if (theirs.changed > base_) {
             const bool is_new = theirs.created > base_;
@@ -86,7 +107,7 @@
             return;
         }
         differences_.push_back({wanted.name, difference_kind::changed, std::move(fields)});
-        set(wanted, std::move(text), theirs.created);
+        set(wanted, std::move(text), theirs.created, extend_history(theirs));
     }
 
     void erase(const accepted_service& theirs) {
@@ -100,9 +121,10 @@
         tombstones_[name] = next_revision();
     }
 
-    void set(const settings::service& wanted, std::string text, revision created) {
-        services_[wanted.name] = std::make_shared<const accepted_service>(
-            accepted_service{wanted, std::move(text), created, next_revision()});
+    void set(const settings::service& wanted, std::string text, revision created,
+             std::vector<past_content> history) {
+        services_[wanted.name] = std::make_shared<const accepted_service>(accepted_service{
+            wanted, std::move(text), created, next_revision(), std::move(history)});
         tombstones_.erase(wanted.name);
     }
 
--- a/src/configuration/plan.hpp
+++ b/src/configuration/plan.hpp
@@ -36,13 +36,12 @@
 
 /// \brief Works out the next snapshot. Pure.
 ///
-/// Services that others changed since the base are left alone where the set leaves them as they
-/// are; where it does not, that is a conflict. A service created since the base and missing from
-/// the set stays.
-/// \param current what is in force; null: nothing was published yet
-/// \param services the whole wanted set; each name stands once
-/// \param base the revision that the set was made from; empty: none
-/// \returns the plan, or errc::base_unknown
+/// A service that others changed since the base is left alone if the set has it as it was at the
+/// base; otherwise, unless both made the same change, that is a conflict. A base so old that the
+/// service's content then is not remembered makes it a conflict too. A service created since the
+/// base and missing from the set stays. \param current what is in force; null: nothing was
+/// published yet \param services the whole wanted set; each name stands once \param base the
+/// revision that the set was made from; empty: none \returns the plan, or errc::base_unknown
 [[nodiscard]] result<change_plan> plan_change(const snapshot_ptr& current,
                                               const std::vector<settings::service>& services,
                                               revision base);
--- a/src/configuration/publish.cpp
+++ b/src/configuration/publish.cpp
@@ -96,12 +96,13 @@
     if (!listed) {
         return listed.error();
     }
-    auto found = internal::decode_listing(listed->entries);
+    auto found = internal::decode_listing(listed->entries, shards_);
     if (!found) {
         finish(tl::unexpected(found.error()));
         return {};
     }
     listed_ = std::move(listed->entries);
+    shards_ = std::move(found->shards);
     head_modified_ = found->head_modified;
     if (const auto at = internal::find_change(found->read, wanted_.change_id)) {
         stale_ = find_stale(listed_, found->read);
@@ -132,8 +133,7 @@
     planned_ = std::move(plan->next);
     const revision in_force = current ? current->at() : revision{};
     if (!plan->conflicts.empty()) {
-        finish(publish_report{
-            publish_status::conflict, in_force, {}, std::move(plan->conflicts)});
+        finish(publish_report{publish_status::conflict, in_force, {}, std::move(plan->conflicts)});
     } else if (!planned_) {
         finish(publish_report{publish_status::unchanged, in_force, {}, {}});
     }
@@ -174,8 +174,8 @@
         return written.error();
     }
     // A write whose reply was lost has left the same value.
-    const bool is_there = written->is_swapped ||
-                          (written->current && written->current->value == writing.value);
+    const bool is_there =
+        written->is_swapped || (written->current && written->current->value == writing.value);
     if (!is_there) {
         finish(failure(errc::inconsistent));
         return {};
@@ -188,8 +188,7 @@
 }
 
 std::error_code publish_steps::swap_head(platform::store& kept) {
-    const auto swapped =
-        kept.swap(head_key, head_modified_, internal::encode_head(new_head_));
+    const auto swapped = kept.swap(head_key, head_modified_, internal::encode_head(new_head_));
     if (!swapped) {
         if (!platform::is_surely_not_applied(swapped.error())) {
             is_in_doubt_ = true;
--- a/src/configuration/publish.hpp
+++ b/src/configuration/publish.hpp
@@ -66,6 +66,7 @@
     publish_action next_ = publish_action::read_all;
     std::optional<result<publish_report>> outcome_;
     std::vector<platform::entry> listed_; ///< every key of the configuration, as last read
+    internal::shard_map shards_;          ///< decoded shards, as last read
     revision head_modified_;              ///< store revision of the head that the plan rests on
     snapshot_ptr planned_;
     internal::head new_head_;
--- a/src/configuration/snapshot.hpp
+++ b/src/configuration/snapshot.hpp
@@ -7,15 +7,23 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace cicadahatch::configuration {
 
+/// \brief What a service was until a later change.
+struct past_content {
+    revision changed;            ///< revision that brought this content
+    std::uint64_t text_hash = 0; ///< stable_hash() of the canonical text
+};
+
 /// \brief One service of the configuration in force.
 struct accepted_service {
     settings::service described;
     std::string text; ///< canonical JSON, as settings::render_service() writes it
     revision created; ///< configuration revision at which the service came into being
     revision changed; ///< configuration revision of its last change
+    std::vector<past_content> history; ///< the contents before, newest last; bounded
 };
 
 using service_map = std::map<service_id, std::shared_ptr<const accepted_service>>;
--- a/src/configuration/watchers.cpp
+++ b/src/configuration/watchers.cpp
@@ -20,13 +20,11 @@
 
 bool is_watcher(const daemon_id& self, const std::vector<watch_candidate>& live,
                 std::size_t watchers) {
-    const auto listed = std::find_if(live.begin(), live.end(), [&](const auto& candidate) {
-        return candidate.id == self;
-    });
+    const auto listed = std::find_if(live.begin(), live.end(),
+                                     [&](const auto& candidate) { return candidate.id == self; });
     const auto own = rank_of(listed == live.end() ? watch_candidate{self} : *listed);
-    const auto before = std::count_if(live.begin(), live.end(), [&](const auto& candidate) {
-        return rank_of(candidate) < own;
-    });
+    const auto before = std::count_if(
+        live.begin(), live.end(), [&](const auto& candidate) { return rank_of(candidate) < own; });
     return static_cast<std::size_t>(before) < watchers;
 }
 
