Orders to engines under a lease; configuration beside the naive way

Cause: engines take orders to load and to change role from any daemon, and some ignore fencing numbers, so a frozen issuer that wakes could act beside its successor. Ruled out: a successor that waits for the lease alone (the order before may still run, or be written by a sender frozen after its look at the clock). Left out: a frozen sender is stopped by the engine's idle timeout; an engine that neither checks numbers nor closes silent connections can't be protected.

--- /dev/null
+++ b/src/orders/order.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "src/core/identifiers.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace cicadahatch::orders {
+
+enum class order_kind : std::uint8_t { load_model, load_adapter, set_role };
+
+/// \brief One order to an engine. Carrying it out twice has the effect of once.
+struct order {
+    backend_id engine;
+    std::string address; ///< "host:port"
+    order_kind kind = order_kind::load_model;
+    model_id model;
+    std::string version;
+    std::string adapter;                      ///< for load_adapter
+    backend_role role = backend_role::decode; ///< for set_role
+    bool checks_fencing = true;               ///< whether the engine refuses old numbers
+};
+
+} // namespace cicadahatch::orders
