--- a/src/configuration/internal/layout.cpp
+++ b/src/configuration/internal/layout.cpp
@@ -178,13 +178,19 @@
     return whole;
 }
 
-result<shard_map> decode_shards(const head& read, const std::vector<platform::entry>& entries) {
+result<shard_map> decode_shards(const head& read, const std::vector<platform::entry>& entries,
+                                const shard_map& known) {
     const std::set<std::string> named{read.shards.begin(), read.shards.end()};
     shard_map shards;
     for (const platform::entry& listed : entries) {
         if (named.count(listed.key) == 0) {
             continue;
         }
+        const auto before = known.find(listed.key);
+        if (before != known.end()) {
+            shards.emplace(*before);
+            continue;
+        }
         auto part = decode_shard(listed.value);
         if (!part) {
             return tl::unexpected(part.error());
@@ -194,7 +200,7 @@
     return shards;
 }
 
-result<stored> decode_listing(const std::vector<platform::entry>& entries) {
+result<stored> decode_listing(const std::vector<platform::entry>& entries, const shard_map& known) {
     stored found;
     const auto at_head = std::find_if(entries.begin(), entries.end(),
                                       [](const auto& listed) { return listed.key == head_key; });
@@ -205,7 +211,7 @@
     if (!read) {
         return tl::unexpected(read.error());
     }
-    const auto shards = decode_shards(*read, entries);
+    auto shards = decode_shards(*read, entries, known);
     if (!shards) {
         return tl::unexpected(shards.error());
     }
@@ -216,6 +222,7 @@
     found.head_modified = at_head->modified;
     found.read = std::move(*read);
     found.whole = std::move(*whole);
+    found.shards = std::move(*shards);
     return found;
 }
 
--- a/src/configuration/peer_exchange.cpp
+++ b/src/configuration/peer_exchange.cpp
@@ -92,7 +92,7 @@
     if (!merged) {
         return tl::unexpected(merged.error());
     }
-    return own.offer(std::move(*merged));
+    return own.offer(*merged);
 }
 
 } // namespace cicadahatch::configuration
--- a/src/configuration/publish.cpp
+++ b/src/configuration/publish.cpp
@@ -96,12 +96,13 @@
     if (!listed) {
         return listed.error();
     }
-    auto found = internal::decode_listing(listed->entries);
+    auto found = internal::decode_listing(listed->entries, shards_);
     if (!found) {
         finish(tl::unexpected(found.error()));
         return {};
     }
     listed_ = std::move(listed->entries);
+    shards_ = std::move(found->shards);
     head_modified_ = found->head_modified;
     if (const auto at = internal::find_change(found->read, wanted_.change_id)) {
         stale_ = find_stale(listed_, found->read);
