--- a/src/claims/segment.cpp
+++ b/src/claims/segment.cpp
@@ -245,6 +245,10 @@
         standing->state = claim_state::abandoned;
         return;
     }
+    if (standing != nullptr && standing->state == claim_state::abandoned) {
+        standing->attempt = given_up.attempt;
+        return;
+    }
     if (standing == nullptr && !in.is_sealed) {
         claim mark = given_up;
         mark.state = claim_state::abandoned;
--- a/src/claims/segment.hpp
+++ b/src/claims/segment.hpp
@@ -55,9 +55,9 @@
 bool apply_outcome(segment& in, const idempotency_key& key, const claim_attempt& attempt,
                    const claim_outcome& outcome);
 
-/// \brief Marks the claim of an attempt that has sent nothing, and never will, as abandoned. In an
-/// unsealed segment without the key the mark is put in its place, so that a delayed write of the
-/// attempt meets another revision.
+/// \brief Marks the claim of an attempt that has sent nothing, and never will, as abandoned. Where
+/// the attempt's claim may still land, the mark is put in its place: in an unsealed segment without
+/// the key, or over another abandoned attempt. A delayed write then meets another revision.
 void apply_abandonment(segment& in, const claim& given_up);
 
 /// \returns whether all claims of a sealed segment may be replaced by tombstones
--- a/src/claims/shard_view.cpp
+++ b/src/claims/shard_view.cpp
@@ -12,6 +12,15 @@
 constexpr std::uint64_t shard_seed = 1;
 constexpr std::size_t number_digits = 20;
 
+/// The head is taken to be absent until a read or a refused write shows it.
+void expect_new_head(shard_view& view, std::uint64_t number) {
+    segment created;
+    created.number = number;
+    view.head = number;
+    view.may_create_head = true;
+    view.held_head = held_segment{std::move(created), revision{}, false};
+}
+
 } // namespace
 
 wall_time next_due(const segment& stored) {
@@ -41,7 +50,7 @@
 result<void> load(shard_view& view, const platform::listing& listed) {
     shard_view loaded;
     loaded.prefix = view.prefix;
-    loaded.may_create_head = true;
+    expect_new_head(loaded, loaded.head);
     for (const platform::entry& each : listed.entries) {
         auto read = decode_segment(each.value);
         if (!read) {
@@ -62,9 +71,7 @@
 
 void note_sealed(shard_view& view, const segment& stored) {
     view.sealed.push_back({stored.number, digests_of(stored), next_due(stored)});
-    view.head = stored.number + 1;
-    view.may_create_head = true;
-    view.held_head.reset();
+    expect_new_head(view, stored.number + 1);
 }
 
 void forget(shard_view& view, std::uint64_t number) {
