--- a/src/claims/claim_book.cpp
+++ b/src/claims/claim_book.cpp
@@ -5,7 +5,6 @@
 #include "src/claims/internal/lane.hpp"
 #include "src/claims/key_time.hpp"
 #include "src/core/constants.hpp"
-#include "src/core/hash.hpp"
 #include "src/core/macros.hpp"
 #include "src/core/random.hpp"
 
@@ -40,7 +39,7 @@
     std::unique_ptr<internal::lane>& place = lanes_[{service, shard}];
     if (!place) {
         place = std::make_unique<internal::lane>(make_shard_view(service, shard), time_, max_batch_,
-                                                 gather_, stable_hash(owner_.str(), shard));
+                                                 gather_);
     }
     return *place;
 }
--- a/src/claims/commit_run.hpp
+++ b/src/claims/commit_run.hpp
@@ -41,9 +41,6 @@
     /// \returns whether all operations are finished
     bool step(platform::store& shared);
 
-    /// \returns how many writes were refused because another daemon's came first
-    [[nodiscard]] int lost_races() const noexcept { return lost_races_; }
-
 private:
     [[nodiscard]] bool is_finished() const;
     [[nodiscard]] std::uint64_t place_of(const operation& wanted) const;
--- a/src/claims/constants.hpp
+++ b/src/claims/constants.hpp
@@ -42,10 +42,6 @@
 /// Writes that lost a race before an operation gives up.
 inline constexpr int max_lost_races = 16;
 
-/// Pause of a shard's writer after a lost race; it doubles with each and halves without.
-inline constexpr std::chrono::milliseconds min_race_pause{4};
-inline constexpr std::chrono::milliseconds max_race_pause{128};
-
 /// Longest kept time of a service's claims.
 inline constexpr std::chrono::hours max_kept{24 * 366};
 
--- a/src/claims/internal/lane.cpp
+++ b/src/claims/internal/lane.cpp
@@ -1,16 +1,13 @@
 #include "src/claims/internal/lane.hpp"
 
-#include "src/claims/constants.hpp"
-
 #include <algorithm>
-#include <thread>
 #include <utility>
 
 namespace cicadahatch::claims::internal {
 
 lane::lane(shard_view view, const clock& time, std::size_t max_batch,
-           std::chrono::milliseconds gather, std::uint64_t seed)
-    : time_(time), max_batch_(max_batch), gather_(gather), view_(std::move(view)), random_(seed) {}
+           std::chrono::milliseconds gather)
+    : time_(time), max_batch_(max_batch), gather_(gather), view_(std::move(view)) {}
 
 void lane::run(operation& wanted, platform::store& shared) {
     waiting self{&wanted, false};
@@ -32,39 +29,23 @@
 }
 
 void lane::lead(std::unique_lock<std::mutex>& lock, platform::store& shared) {
-    const duration wait = std::max<duration>(gather_, random_.jittered(pause_));
-    if (wait > duration{0}) {
-        filled_.wait_for(lock, wait, [this] { return queue_.size() >= max_batch_; });
+    if (gather_.count() > 0) {
+        filled_.wait_for(lock, gather_, [this] { return queue_.size() >= max_batch_; });
     }
     const std::vector<waiting*> batch = take_batch();
     lock.unlock();
-    commit(batch, shared);
-    lock.lock();
-    for (waiting* each : batch) {
-        each->is_done = true;
-    }
-}
-
-void lane::commit(const std::vector<waiting*>& batch, platform::store& shared) {
     std::vector<operation*> operations;
     operations.reserve(batch.size());
     for (const waiting* each : batch) {
         operations.push_back(each->wanted);
     }
     commit_run running{view_, std::move(operations), time_};
-    int seen_races = 0;
     while (!running.step(shared)) {
-        if (running.lost_races() > seen_races) {
-            seen_races = running.lost_races();
-            pause_after_lost_race();
-        }
     }
-    pause_ = seen_races == 0 ? pause_ / 2 : pause_;
-}
-
-void lane::pause_after_lost_race() {
-    pause_ = std::clamp(pause_ * 2, min_race_pause, max_race_pause);
-    std::this_thread::sleep_for(random_.jittered(pause_));
+    lock.lock();
+    for (waiting* each : batch) {
+        each->is_done = true;
+    }
 }
 
 std::vector<lane::waiting*> lane::take_batch() {
--- a/src/claims/internal/lane.hpp
+++ b/src/claims/internal/lane.hpp
@@ -3,29 +3,24 @@
 #include "src/claims/commit_run.hpp"
 #include "src/claims/shard_view.hpp"
 #include "src/core/clock.hpp"
-#include "src/core/random.hpp"
 #include "src/platform/store.hpp"
 
 #include <chrono>
 #include <condition_variable>
-#include <cstdint>
 #include <deque>
 #include <mutex>
-#include <vector>
 
 namespace cicadahatch::claims::internal {
 
 /// \brief Groups the operations of concurrent threads on one shard into common writes.
 ///
 /// One of the waiting threads leads: it takes what is queued, commits it and wakes the others.
-/// While it waits for the store, the next group gathers. Lost races show that other daemons write
-/// to the same shard: each pauses longer, so that fewer and larger writes meet.
+/// While it waits for the store, the next group gathers.
 class lane {
 public:
     /// \param gather time that a leader waits for more operations before it commits
-    /// \param seed of the jitter; differs between daemons
     lane(shard_view view, const clock& time, std::size_t max_batch,
-         std::chrono::milliseconds gather, std::uint64_t seed);
+         std::chrono::milliseconds gather);
 
     /// \brief Returns once the operation is finished.
     void run(operation& wanted, platform::store& shared);
@@ -42,8 +37,6 @@
 
     void lead(std::unique_lock<std::mutex>& lock, platform::store& shared);
     std::vector<waiting*> take_batch();
-    void commit(const std::vector<waiting*>& batch, platform::store& shared);
-    void pause_after_lost_race();
 
     const clock& time_;
     const std::size_t max_batch_;
@@ -53,10 +46,7 @@
     std::condition_variable filled_;
     std::deque<waiting*> queue_;
     bool has_leader_ = false;
-    // Used by the leader only.
-    shard_view view_;
-    random_source random_;
-    std::chrono::milliseconds pause_{0};
+    shard_view view_; ///< used by the leader only
 };
 
 } // namespace cicadahatch::claims::internal
