--- a/test/claims/segment_test.cpp
+++ b/test/claims/segment_test.cpp
@@ -19,7 +19,7 @@
             add(filled, "key" + std::to_string(each));
         }
         claims::apply_outcome(filled, idempotency_key{"key4"}, claims::claim_attempt{"key4"},
-                              claims::make_outcome(201, "text/plain", "\xff\x00 body"));
+                              claims::make_outcome(201, "text/plain", "\xff\x01 body"));
         return filled;
     }();
 
