Refuse a peer's configuration message with a false array size

Cause: merge_from_peer() let nlohmann's CBOR parser allocate what an array announces; it throws out_of_range, which ended the daemon. Any holder of the peer secret could send such bytes, and a damaged message could be one. Change: the message goes through decode_cbor(), which checks sizes and depth first, as claims and metrics do.

--- a/src/configuration/peer_exchange.cpp
+++ b/src/configuration/peer_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "src/configuration/error.hpp"
 #include "src/configuration/internal/records.hpp"
+#include "src/core/cbor.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -74,10 +75,11 @@
 }
 
 result<bool> merge_from_peer(holder& own, std::string_view bytes) {
-    const json message = json::from_cbor(bytes.begin(), bytes.end(), true, false);
-    if (!message.is_object() || number_at(message, "at") == 0) {
+    const auto decoded = decode_cbor(bytes);
+    if (!decoded || !decoded->is_object() || number_at(*decoded, "at") == 0) {
         return failure(errc::malformed);
     }
+    const json& message = *decoded;
     const snapshot_ptr held = own.current();
     const revision offered{number_at(message, "at")};
     if (held && offered <= held->at()) {
--- a/test/fuzz/fuzz_target.hpp
+++ b/test/fuzz/fuzz_target.hpp
@@ -8,6 +8,7 @@
 
 /// \brief Gives one input to the parser under test. Stops the process if a property is broken.
 /// The name and signature are libFuzzer's.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size);
 
 namespace cicadahatch::fuzz {
