--- a/programs/cicadahatch/command.cpp
+++ b/programs/cicadahatch/command.cpp
@@ -18,6 +18,8 @@
 
 constexpr std::array commands{
     command{"check", "check service files and daemon settings", run_check},
+    command{"publish", "put service files into force", run_publish},
+    command{"show", "show the services or the revision in force", run_show},
     command{"status", "show the state of daemons", run_status},
     command{"cells", "show the cells whose home the daemons are", run_cells},
     command{"engines", "show the backend servers as the daemons see them", run_engines},
--- a/programs/cicadahatch/error.cpp
+++ b/programs/cicadahatch/error.cpp
@@ -31,8 +31,6 @@
             return "answer not understood";
         case errc::missing_markers:
             return "page without the markers of its generated part";
-        case errc::bad_revision:
-            return "not a revision number";
         case errc::not_in_force:
             return "an older revision is in force";
         }
--- a/programs/cicadahatch/error.hpp
+++ b/programs/cicadahatch/error.hpp
@@ -16,7 +16,6 @@
     refused,          ///< the daemon refused the order
     malformed_answer, ///< the daemon's answer could not be understood
     missing_markers,  ///< a page lacks the markers of its generated part
-    bad_revision,     ///< not a revision number
     not_in_force      ///< the daemon has an older revision in force
 };
 
--- a/test/tool/command_test.cpp
+++ b/test/tool/command_test.cpp
@@ -34,13 +34,27 @@
 
 TEST_CASE_FIXTURE(command_fixture, "run, help of each command, printed") {
     CHECK(run({"--help"}) == 0);
-    for (const char* name : {"check", "status", "cells", "engines", "members", "drain", "log-level",
-                             "report", "docs"}) {
+    for (const char* name : {"check", "publish", "show", "status", "cells", "engines", "members",
+                             "drain", "log-level", "report", "docs"}) {
         CHECK(run({name, "--help"}) == 0);
         CHECK(out.str().find(std::string{"cicadahatch "} + name) != std::string::npos);
     }
 }
 
+TEST_CASE_FIXTURE(command_fixture, "publish and show, nothing named, usage") {
+    unsetenv("CICADAHATCH_PLATFORM");
+    unsetenv("CICADAHATCH_ADMIN");
+    CHECK(run({"publish"}) == 2);
+    CHECK(run({"publish", source + "/docs"}) == 2);
+    CHECK(run({"publish", source + "/examples"}) == 2);
+    CHECK(run({"publish", source + "/examples", "--platform", "127.0.0.1:1", "--wait"}) == 2);
+    CHECK(run({"publish", source + "/examples", "--platform", "127.0.0.1:1"}) == 4);
+    CHECK(run({"show", "services", "--platform", "127.0.0.1:1"}) == 4);
+    CHECK(run({"show", "services", "--platform", "platform"}) == 2);
+    CHECK(run({"show", "revision"}) == 2);
+    CHECK(run({"show", "music"}) == 2);
+}
+
 TEST_CASE_FIXTURE(command_fixture, "check, sound files, no fault") {
     CHECK(run({"check", source + "/examples", "--settings",
                source + "/examples/utility/daemon.json"}) == 0);
--- a/test/tool/daemons_test.cpp
+++ b/test/tool/daemons_test.cpp
@@ -156,6 +156,12 @@
     CHECK(run({"report", "weather"}) == 2);
 }
 
+TEST_CASE_FIXTURE(daemons_fixture, "show, revision, one record for each daemon") {
+    CHECK(run({"show", "revision"}) == 0);
+    REQUIRE(printed().size() == 2);
+    CHECK(printed()[0]["revision"] == 7);
+}
+
 TEST_CASE_FIXTURE(daemons_fixture, "wait_in_force, reached revision, no error") {
     const tool::admin_target target{{http::parse_endpoint(first.place()).value()}, token, {}};
     CHECK(tool::wait_in_force(target, revision{7}, 0ms).front().body.has_value());
