--- a/test/support/cluster.hpp
+++ b/test/support/cluster.hpp
@@ -26,6 +26,11 @@
         return daemon(daemon_name).place("admin");
     }
 
+    /// \returns the file that a process's standard error goes to
+    [[nodiscard]] std::string log_path(const std::string& name) const {
+        return scratch_dir_ + "/" + name + ".log";
+    }
+
     /// \brief Starts a backend server of a service.
     /// \param extra further arguments of the stand-in
     void start_backend(const std::string& service, const std::string& name, backend_role role,
--- a/test/support/raw_caller.cpp
+++ b/test/support/raw_caller.cpp
@@ -58,15 +58,20 @@
     return receive_until({});
 }
 
+std::string raw_caller::receive_some() const {
+    std::array<char, buffer_bytes> buffer{};
+    const ssize_t got = recv(descriptor_, buffer.data(), buffer.size(), 0);
+    return got <= 0 ? std::string{} : std::string{buffer.data(), static_cast<std::size_t>(got)};
+}
+
 std::string raw_caller::receive_until(std::string_view text) const {
     std::string received;
-    std::array<char, buffer_bytes> buffer{};
     while (text.empty() || received.find(text) == std::string::npos) {
-        const ssize_t got = recv(descriptor_, buffer.data(), buffer.size(), 0);
-        if (got <= 0) {
+        const std::string bytes = receive_some();
+        if (bytes.empty()) {
             break;
         }
-        received.append(buffer.data(), static_cast<std::size_t>(got));
+        received += bytes;
     }
     return received;
 }
--- a/test/support/raw_caller.hpp
+++ b/test/support/raw_caller.hpp
@@ -27,6 +27,9 @@
     void leave();
     /// \returns what arrives until the server closes or nothing came for five seconds
     [[nodiscard]] std::string receive_all() const;
+    /// \returns what has arrived, as soon as there is any; empty at the end of the connection or
+    /// after five seconds
+    [[nodiscard]] std::string receive_some() const;
     /// \returns what has arrived once it holds the text, or at the end of the connection
     [[nodiscard]] std::string receive_until(std::string_view text) const;
 
