--- a/test/demo/tool.cpp
+++ b/test/demo/tool.cpp
@@ -10,6 +10,7 @@
     std::vector<std::string> words{std::string{CICADAHATCH_BINARY_DIR} + "/programs/cicadahatch"};
     words.insert(words.end(), arguments.begin(), arguments.end());
     std::vector<char*> argv;
+    argv.reserve(words.size() + 1);
     for (std::string& word : words) {
         argv.push_back(word.data());
     }
--- a/test/serving/bad_input_process_test.cpp
+++ b/test/serving/bad_input_process_test.cpp
@@ -95,7 +95,8 @@
         {"{\"model\":\"pattern\",\"prompt\":\"\xff\"}", "bad_utf8"},
         {R"({"model":"pattern"})", "bad_field"},
         {R"({"model":"none","prompt":"x"})", "unknown_service"}};
-    for (const auto& [body, code] : bodies) {
+    for (const auto& [body, expected] : bodies) {
+        const std::string code = expected;
         INFO(code);
         const std::string answer = exchange(post_of(body));
         CHECK(is_4xx_or_closed(answer));
