Read engine streams in as few calls as is safe

Cause: each byte of a token stream cost the daemon one read through CivetWeb, a poll and a recv. A larger read blocks until all of it has come and would hold tokens back.

Change: for the part of an event that has come, bytes_surely_to_come() gives a lower bound of what is missing, and just that much is read.

--- a/src/engines/decode_stream.cpp
+++ b/src/engines/decode_stream.cpp
@@ -4,14 +4,29 @@
 #include "src/engines/error.hpp"
 #include "src/engines/frame.hpp"
 #include "src/engines/internal/answers.hpp"
+#include "src/engines/internal/event_bound.hpp"
 #include "src/engines/internal/requests.hpp"
 
+#include <optional>
+
 namespace cicadahatch::engines {
 
 namespace {
 
 constexpr std::string_view data_field = "data: ";
 
+/// \returns the event's first data field, if it has any
+std::optional<std::string_view> data_of(std::string_view event) {
+    while (event.rfind(data_field, 0) != 0) {
+        const std::size_t end = event.find('\n');
+        if (end == std::string_view::npos) {
+            return std::nullopt;
+        }
+        event.remove_prefix(end + 1);
+    }
+    return event.substr(data_field.size(), event.find('\n') - data_field.size());
+}
+
 } // namespace
 
 result<decode_stream> decode_stream::open(const http::endpoint& place, const decode_request& asked,
@@ -30,12 +45,12 @@
 
 result<frame> decode_stream::next() {
     while (true) {
-        const auto line = stream_.read_line(max_frame_bytes);
-        if (!line) {
+        const auto event = stream_.read_event(max_frame_bytes, internal::bytes_surely_to_come);
+        if (!event) {
             return failure(errc::stream_broken);
         }
-        if (line->rfind(data_field, 0) == 0) {
-            return parse_frame(std::string_view{*line}.substr(data_field.size()));
+        if (const auto data = data_of(*event)) {
+            return parse_frame(*data);
         }
     }
 }
--- a/src/http/response_stream.hpp
+++ b/src/http/response_stream.hpp
@@ -3,6 +3,8 @@
 #include "src/http/client.hpp"
 
 #include <cstddef>
+#include <string>
+#include <string_view>
 
 namespace cicadahatch::http {
 
@@ -23,6 +25,15 @@
     /// CivetWeb's own receive timeout, or errc::header_too_large
     [[nodiscard]] result<std::string> read_line(std::size_t max_bytes);
 
+    /// \brief Waits for the next server-sent event.
+    /// \param max_bytes longest accepted event
+    /// \param surely_to_come called with the part that has come; a lower bound, at least one, of
+    /// the bytes still missing
+    /// \returns the event's lines without carriage returns, errc::response_broken at the end of the
+    /// body, or errc::header_too_large
+    [[nodiscard]] result<std::string> read_event(std::size_t max_bytes,
+                                                 std::size_t (*surely_to_come)(std::string_view));
+
     /// \returns the rest of the body
     [[nodiscard]] result<std::string> read_rest();
 
@@ -30,8 +41,11 @@
     response_stream(client_connection connection, response head)
         : connection_(std::move(connection)), head_(std::move(head)) {}
 
+    [[nodiscard]] bool read_more(std::size_t count);
+
     client_connection connection_;
     response head_;
+    std::string pending_; ///< read, but not yet returned
 };
 
 } // namespace cicadahatch::http
