--- a/src/serving/cell_host.cpp
+++ b/src/serving/cell_host.cpp
@@ -292,9 +292,20 @@
     }
 }
 
+void cell_host::take_in_news(hosted_cell& cell) {
+    for (const backend_row& known : cell.plan.engines) {
+        if (const auto server = directory_.backend(known.id)) {
+            hold_back_if_needed(cell.state, *server);
+        }
+    }
+}
+
 void cell_host::on(const daemon_id& from, const rpc::release& ended) {
     static_cast<void>(from);
     if (hosted_cell* cell = find(ended.cell)) {
+        if (ended.outcome != rpc::release_outcome::completed) {
+            take_in_news(*cell);
+        }
         scheduling::release(cell->state, policy_, cell_name(ended.request, ended.attempt),
                             internal::to_outcome(ended.outcome), ended.output_tokens, time_.now());
     }
--- a/test/fakes/fake_engine/state.hpp
+++ b/test/fakes/fake_engine/state.hpp
@@ -70,8 +70,8 @@
     std::condition_variable changed;
     std::atomic<fault> current_fault{fault::none};
     bool is_leaving = false;
-    int cancels_to_lose = 0;  ///< cancels that are still closed without effect
-    int transfers = 0;        ///< KV transfers under way
+    int cancels_to_lose = 0; ///< cancels that are still closed without effect
+    int transfers = 0;       ///< KV transfers under way
     std::uint64_t incarnation = 0;
     std::uint64_t highest_fencing = 0;
     std::uint64_t next_handle = 1;
