Wait between tries of a publish only in the command

Cause: tool.publication slept in the retries of a lost reply, 10.7 s on a busy machine. Change: the wait is passed in with the wish; the test passes none.

--- a/programs/cicadahatch/publication.cpp
+++ b/programs/cicadahatch/publication.cpp
@@ -1,13 +1,10 @@
 #include "programs/cicadahatch/publication.hpp"
 
-#include "cicadahatch/core"
 #include "programs/cicadahatch/platform_client.hpp"
 #include "src/configuration/error.hpp"
 #include "src/configuration/load.hpp"
 
-#include <algorithm>
 #include <map>
-#include <thread>
 
 namespace cicadahatch::tool {
 
@@ -15,9 +12,6 @@
 
 using configuration::difference_kind;
 
-constexpr std::chrono::milliseconds first_pause{100};
-constexpr int max_doublings = 5;
-
 /// \returns the configuration in force; null if nothing was published yet
 result<configuration::snapshot_ptr> load_current(platform::store& kept) {
     auto current = configuration::load(kept);
@@ -55,12 +49,6 @@
     return {whole_set(wish, current), wish.base.value_or(in_force), wish.change_id};
 }
 
-void pause_before_retry(int failures) {
-    thread_local random_source random{stable_hash(unique_token())};
-    const duration base = first_pause * (1 << std::min(failures, max_doublings));
-    std::this_thread::sleep_for(random.jittered(base));
-}
-
 const char* name_of(difference_kind kind) {
     switch (kind) {
     case difference_kind::created:
@@ -150,9 +138,7 @@
 }
 
 publish_outcome put_into_force(platform::store& kept, const configuration::publication& wanted,
-                               const terminal& to) {
-    configuration::publish_limits limits;
-    limits.pause = pause_before_retry;
+                               const configuration::publish_limits& limits, const terminal& to) {
     const auto report = configuration::publish(kept, wanted, limits);
     if (!report) {
         return fail_publish(to, report.error(), wanted.change_id);
@@ -180,7 +166,12 @@
         return fail_publish(to, current.error(), wish.change_id);
     }
     const configuration::publication wanted = make_publication(wish, *current);
-    return wish.is_dry_run ? try_out(wanted, *current, to) : put_into_force(kept, wanted, to);
+    if (wish.is_dry_run) {
+        return try_out(wanted, *current, to);
+    }
+    configuration::publish_limits limits;
+    limits.pause = wish.pause;
+    return put_into_force(kept, wanted, limits, to);
 }
 
 } // namespace cicadahatch::tool
--- a/programs/cicadahatch/publication.hpp
+++ b/programs/cicadahatch/publication.hpp
@@ -3,6 +3,7 @@
 #include "programs/cicadahatch/terminal.hpp"
 #include "src/configuration/publish.hpp"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -18,6 +19,8 @@
         base; ///< revision that the files were made from; none: the one in force
     std::string change_id;
     bool is_dry_run = false; ///< show only what would change
+    /// Called before a failed call of the platform is made again; waits. Empty: no wait.
+    std::function<void(int failures)> pause;
 };
 
 /// \brief What came of a wish.
--- a/programs/cicadahatch/publish.cpp
+++ b/programs/cicadahatch/publish.cpp
@@ -7,6 +7,9 @@
 #include "programs/cicadahatch/publication.hpp"
 #include "programs/cicadahatch/service_set.hpp"
 
+#include <algorithm>
+#include <thread>
+
 namespace cicadahatch::tool {
 
 namespace {
@@ -14,6 +17,15 @@
 /// Longest time in which an accepted configuration comes into force everywhere.
 constexpr const char* default_wait_ms = "9000";
 
+constexpr std::chrono::milliseconds first_pause{100};
+constexpr int max_doublings = 5;
+
+void pause_before_retry(int failures) {
+    thread_local random_source random{stable_hash(unique_token())};
+    const duration base = first_pause * (1 << std::min(failures, max_doublings));
+    std::this_thread::sleep_for(random.jittered(base));
+}
+
 cxxopts::Options publish_options() {
     auto options =
         make_options("publish",
@@ -52,6 +64,7 @@
     }
     wish.change_id =
         values.count("change-id") > 0 ? values["change-id"].as<std::string>() : unique_token();
+    wish.pause = pause_before_retry;
     wish.is_dry_run = values.count("dry-run") > 0;
     return wish;
 }
