--- a/programs/cicadahatch/publication.cpp
+++ b/programs/cicadahatch/publication.cpp
@@ -37,6 +37,7 @@
         set.insert_or_assign(described.name, described);
     }
     std::vector<settings::service> listed;
+    listed.reserve(set.size());
     for (auto& [name, described] : set) {
         listed.push_back(std::move(described));
     }
