serving: take back an engine after silence or an undone drain

Cause: the cell marked every engine that takes no work as leaving, which holds for the incarnation. An engine that missed two polls, or whose drain was undone, never got work again: after a hang of the only prefill engine every request was refused with no_backend for the 20 s that the test waited. Change: the cell pauses such engines; only a report of leaving holds for good. A failed attempt tells the directory of a refused connection or of leaving, and the cell takes that in before the retry. Also: "cancelled" and "kv_gone" no longer count as not run. An engine may have worked on a prefill before its cancel. Ruled out: retry budget and ejection as cause of the no_backend answers.

--- a/src/engines/error.cpp
+++ b/src/engines/error.cpp
@@ -49,7 +49,7 @@
 
 bool is_surely_not_run(const std::error_code& error) noexcept {
     return error == errc::not_reached || error == errc::refused || error == errc::leaving ||
-           error == errc::cancelled || error == errc::kv_gone || error == errc::stale_fencing;
+           error == errc::stale_fencing;
 }
 
 } // namespace cicadahatch::engines
--- a/src/scheduling/cell_inputs.cpp
+++ b/src/scheduling/cell_inputs.cpp
@@ -297,6 +297,13 @@
     }
 }
 
+void set_paused(cell_state& state, const backend_id& backend, bool is_paused) {
+    engine* on = state.engines.find(backend);
+    if (on != nullptr) {
+        on->is_paused = is_paused;
+    }
+}
+
 void begin_home(cell_state& state, const std::vector<daemon_id>& expected, time_point now) {
     state.home_since = now;
     state.unregistered = {expected.begin(), expected.end()};
--- a/src/scheduling/cell_inputs.hpp
+++ b/src/scheduling/cell_inputs.hpp
@@ -59,6 +59,10 @@
 /// \brief The engine gets no new work from now on, until a new incarnation of it is listed.
 void mark_leaving(cell_state& state, const backend_id& backend);
 
+/// \brief Holds new work back from an engine that is cut off or drained, or ends that. Unlike
+/// leaving, it can be taken back for the same incarnation.
+void set_paused(cell_state& state, const backend_id& backend, bool is_paused);
+
 /// \brief Begins the registration window of a new home. Nothing is granted before it ends.
 /// \param expected the daemons that are to register; with all answers the window ends early
 void begin_home(cell_state& state, const std::vector<daemon_id>& expected, time_point now);
--- a/src/scheduling/engine.hpp
+++ b/src/scheduling/engine.hpp
@@ -79,6 +79,7 @@
     backend_id id;
     engine_spec spec;
     bool is_leaving = false;  ///< gets no new work, for good
+    bool is_paused = false;   ///< gets no new work until it is resumed
     bool is_unlisted = false; ///< dropped once its last grant has ended
 
     // Reservations of this cell's grants.
--- a/src/scheduling/internal/engine_health.cpp
+++ b/src/scheduling/internal/engine_health.cpp
@@ -70,7 +70,7 @@
 } // namespace
 
 bool takes_work(const engine& on) noexcept {
-    if (on.is_leaving || on.health == health::ejected) {
+    if (on.is_leaving || on.is_paused || on.health == health::ejected) {
         return false;
     }
     return on.health == health::healthy || on.prefills + on.streams == 0;
--- a/src/scheduling/systems/predict.cpp
+++ b/src/scheduling/systems/predict.cpp
@@ -24,7 +24,7 @@
 };
 
 bool is_available(const engine& on) {
-    return !on.is_leaving && on.health != health::ejected;
+    return !on.is_leaving && !on.is_paused && on.health != health::ejected;
 }
 
 bool is_prefill_pool(const engine& on) {
--- a/src/serving/backend_directory.cpp
+++ b/src/serving/backend_directory.cpp
@@ -67,9 +67,12 @@
 
 } // namespace
 
+bool has_left(const backend_row& server) {
+    return !server.left.empty() && server.left == server.started;
+}
+
 bool takes_work(const backend_row& server) {
-    const bool has_left = !server.left.empty() && server.left == server.started;
-    return !has_left && !server.is_drained && server.is_reachable;
+    return !has_left(server) && !server.is_drained && server.is_reachable;
 }
 
 revision backend_directory::configured() const {
--- a/src/serving/backend_directory.hpp
+++ b/src/serving/backend_directory.hpp
@@ -32,6 +32,9 @@
     int in_flight = 0;   ///< plain calls of this daemon that are running
 };
 
+/// \returns whether the running incarnation of the backend server is leaving or has left
+[[nodiscard]] bool has_left(const backend_row& server);
+
 /// \returns whether new work may go to the backend server
 [[nodiscard]] bool takes_work(const backend_row& server);
 
--- a/src/serving/cell_host.cpp
+++ b/src/serving/cell_host.cpp
@@ -107,6 +107,14 @@
     return held;
 }
 
+/// Leaving holds for good; a cut connection or an operator's drain may end.
+void hold_back_if_needed(scheduling::cell_state& state, const backend_row& server) {
+    if (has_left(server)) {
+        scheduling::mark_leaving(state, server.id);
+    }
+    scheduling::set_paused(state, server.id, !takes_work(server));
+}
+
 bool is_live(const std::vector<daemon_id>& live, const daemon_id& daemon) {
     return std::find(live.begin(), live.end(), daemon) != live.end();
 }
@@ -186,9 +194,7 @@
         scheduling::set_engines(cell.state, specs_of(plan), now);
         scheduling::set_services(cell.state, specs);
         for (const backend_row& server : plan.engines) {
-            if (!takes_work(server)) {
-                scheduling::mark_leaving(cell.state, server.id);
-            }
+            hold_back_if_needed(cell.state, server);
         }
         messages = take_outbox();
     }
@@ -286,9 +292,20 @@
     }
 }
 
+void cell_host::take_in_news(hosted_cell& cell) {
+    for (const backend_row& known : cell.plan.engines) {
+        if (const auto server = directory_.backend(known.id)) {
+            hold_back_if_needed(cell.state, *server);
+        }
+    }
+}
+
 void cell_host::on(const daemon_id& from, const rpc::release& ended) {
     static_cast<void>(from);
     if (hosted_cell* cell = find(ended.cell)) {
+        if (ended.outcome != rpc::release_outcome::completed) {
+            take_in_news(*cell);
+        }
         scheduling::release(cell->state, policy_, cell_name(ended.request, ended.attempt),
                             internal::to_outcome(ended.outcome), ended.output_tokens, time_.now());
     }
@@ -360,9 +377,7 @@
                 continue;
             }
             scheduling::ingest_load(cell.state, internal::to_report(*server), now);
-            if (!takes_work(*server)) {
-                scheduling::mark_leaving(cell.state, server->id);
-            }
+            hold_back_if_needed(cell.state, *server);
         }
     }
 }
--- a/src/serving/cell_host.hpp
+++ b/src/serving/cell_host.hpp
@@ -91,6 +91,8 @@
     void on(const daemon_id& from, const rpc::register_grants& held);
     void on(const daemon_id& from, const rpc::copy_grants& copied);
 
+    /// Applies what the directory knows now; a retry must not wait for the next refresh.
+    void take_in_news(hosted_cell& cell);
     [[nodiscard]] hosted_cell* find(const cell_id& cell);
     [[nodiscard]] std::vector<scheduling::engine_spec> specs_of(const cell_plan& plan) const;
     void refuse(const daemon_id& to, const rpc::acquire& asked, rpc::refusal_reason reason);
--- a/src/serving/completion_session.cpp
+++ b/src/serving/completion_session.cpp
@@ -146,6 +146,7 @@
 }
 
 completion_session::attempt_end completion_session::run_attempt(const rpc::granted& held) {
+    held_ = held;
     assembler_.begin_attempt(attempt_number{attempt_});
     is_prefill_unused_ = false;
     failed_in_decode_ = false;
@@ -241,6 +242,7 @@
         ran_ = execution::unknown;
     }
     failed_in_decode_ = failed.is_in_decode;
+    note_backend_news(failed);
     LOG_EVERY_N(WARNING, 100) << "serving: attempt failed: " << failed.error.message();
     return attempt_end::failed;
 }
@@ -262,6 +264,16 @@
     return scheduling::take_retry(shared_.retries.budget);
 }
 
+void completion_session::note_backend_news(const attempt_failed& failed) {
+    const backend_id& server = failed.is_in_decode ? held_.decode_backend : held_.prefill_backend;
+    if (failed.error == engines::errc::not_reached) {
+        shared_.directory.note_unreachable(server);
+    }
+    if (failed.error == engines::errc::leaving) {
+        shared_.directory.note_leaving(server, {});
+    }
+}
+
 void completion_session::note_token_time() {
     const time_point now = shared_.time.now();
     if (last_token_ == time_point{}) {
--- a/src/serving/completion_session.hpp
+++ b/src/serving/completion_session.hpp
@@ -44,6 +44,7 @@
     [[nodiscard]] std::optional<attempt_end> on(const attempt_failed& failed);
     [[nodiscard]] bool check_caller_if_due();
     [[nodiscard]] bool may_retry();
+    void note_backend_news(const attempt_failed& failed);
     void note_token_time();
     void end_ticket(rpc::release_outcome ended);
     void fail(problem failure);
@@ -62,6 +63,7 @@
     answer_assembler assembler_;
     std::uint32_t attempt_ = 0;
     std::shared_ptr<grant_ticket> ticket_;
+    rpc::granted held_;
     execution ran_ = execution::not_run;
     bool failed_in_decode_ = false;
     bool is_prefill_unused_ = false;
--- a/src/serving/internal/engine_specs.cpp
+++ b/src/serving/internal/engine_specs.cpp
@@ -47,7 +47,7 @@
     report.taken_at = server.reported;
     report.running = load.running;
     report.used_pieces = load.kv_pieces_total - load.kv_pieces_free;
-    report.is_leaving = !takes_work(server);
+    report.is_leaving = has_left(server);
     return report;
 }
 
