--- a/test/fakes/fake_engine/model_handlers.cpp
+++ b/test/fakes/fake_engine/model_handlers.cpp
@@ -69,6 +69,17 @@
     return asked.is_object() && asked.contains("request_id") && asked.contains("attempt");
 }
 
+/// Sleeps for the transfer's time and counts it as under way.
+void transfer(state& engine) {
+    std::unique_lock lock{engine.mutex};
+    const auto time = engine.configured.transfer_time;
+    ++engine.transfers;
+    lock.unlock();
+    std::this_thread::sleep_for(time);
+    lock.lock();
+    --engine.transfers;
+}
+
 /// Fetches the exported KV cache from the prefill engine.
 std::string pull_prompt(const json& source) {
     const auto place = cicadahatch::http::parse_endpoint(source.value("source", ""));
@@ -215,7 +226,8 @@
     engine.records.push_back({"prefill", kept.request, kept.handle, kept.attempt, tokens - cached});
     if (!work(engine, lock, asked, tokens - cached)) {
         engine.holdings.erase(kept.handle);
-        return refuse(call, 409, "cancelled");
+        call.respond(json_response(409, R"({"code":"cancelled"})"));
+        return;
     }
     engine.records[record].is_used = false;
     engine.holdings[kept.handle].expires = steady_clock::now() + engine.configured.kv_retention;
@@ -252,6 +264,7 @@
             return refuse(call, 503, "leaving");
         }
     }
+    transfer(engine);
     stream_job job;
     job.prompt = pull_prompt(asked["kv"]);
     if (job.prompt.empty()) {
@@ -278,6 +291,11 @@
     const std::string request = asked["request_id"];
     const std::uint32_t attempt = asked["attempt"];
     const std::lock_guard lock{engine.mutex};
+    if (engine.cancels_to_lose > 0) {
+        --engine.cancels_to_lose;
+        call.abandon();
+        return;
+    }
     // The tombstone also stops an attempt that arrives after its cancel.
     auto& highest = engine.cancelled[request];
     highest = std::max(highest, attempt);
--- a/test/fakes/fake_engine/plain_handlers.cpp
+++ b/test/fakes/fake_engine/plain_handlers.cpp
@@ -57,6 +57,10 @@
         engine.current_fault = fault_named(asked["fault"]);
     }
     engine.is_leaving = asked.value("leaving", engine.is_leaving);
+    engine.cancels_to_lose = asked.value("lose_cancels", engine.cancels_to_lose);
+    const auto transfer = engine.configured.transfer_time.count();
+    engine.configured.transfer_time =
+        std::chrono::milliseconds{asked.value("transfer_ms", transfer)};
     const auto interval = engine.configured.token_interval.count();
     engine.configured.token_interval =
         std::chrono::milliseconds{asked.value("token_interval_ms", interval)};
@@ -75,7 +79,8 @@
     for (const auto& [handle, kept] : engine.holdings) {
         held.push_back({{"request_id", kept.request}, {"attempt", kept.attempt}});
     }
-    const json answer{{"runs", runs}, {"held", held}, {"orders", engine.orders}};
+    const json answer{
+        {"runs", runs}, {"held", held}, {"orders", engine.orders}, {"transfers", engine.transfers}};
     call.respond(json_response(200, answer.dump()));
 }
 
--- a/test/fakes/fake_engine/state.hpp
+++ b/test/fakes/fake_engine/state.hpp
@@ -38,6 +38,7 @@
     int kv_pieces = 4096;
     int tokens_per_piece = 16;
     bool checks_fencing = true;
+    std::chrono::milliseconds transfer_time{0};
 };
 
 /// A piece of engine memory held for a request.
@@ -69,6 +70,8 @@
     std::condition_variable changed;
     std::atomic<fault> current_fault{fault::none};
     bool is_leaving = false;
+    int cancels_to_lose = 0; ///< cancels that are still closed without effect
+    int transfers = 0;       ///< KV transfers under way
     std::uint64_t incarnation = 0;
     std::uint64_t highest_fencing = 0;
     std::uint64_t next_handle = 1;
