--- a/test/fuzz/configuration_peer_fuzz.cpp
+++ b/test/fuzz/configuration_peer_fuzz.cpp
@@ -11,8 +11,8 @@
 
 configuration::snapshot_ptr sample_snapshot(std::uint64_t at) {
     const settings::service described = test_support::sample_model_service();
-    const configuration::accepted_service accepted{described, settings::render_service(described),
-                                                   revision{1}, revision{at}};
+    const configuration::accepted_service accepted{
+        described, settings::render_service(described), revision{1}, revision{at}, {}};
     const configuration::service_map services{
         {described.name, std::make_shared<const configuration::accepted_service>(accepted)}};
     return std::make_shared<const configuration::snapshot>(
--- a/test/invariants/leaving_invariant_process_test.cpp
+++ b/test/invariants/leaving_invariant_process_test.cpp
@@ -83,6 +83,7 @@
             CHECK(eventually([&] { return !takes_work(backend); }, leaving_bound));
         }
         std::vector<std::size_t> before;
+        before.reserve(leaving.size());
         for (const std::string& backend : leaving) {
             before.push_back(runs_at(place(backend)).size());
         }
--- a/test/invariants/not_run_invariant_process_test.cpp
+++ b/test/invariants/not_run_invariant_process_test.cpp
@@ -130,6 +130,7 @@
 
     void ask_at_once(std::vector<told_answer>& answers) {
         std::vector<std::future<told_answer>> asked;
+        asked.reserve(requests_per_fault);
         for (int request = 0; request < requests_per_fault; ++request) {
             asked.push_back(std::async(std::launch::async, [this] { return ask(); }));
         }
@@ -147,7 +148,7 @@
             ask_at_once(answers);
             ask_at_once(answers);
             lift(backend, fault);
-            refused += check_not_run(answers, backend + " " + fault);
+            refused += check_not_run(answers, std::string{backend}.append(" ").append(fault));
             CHECK(running.wait_until_ready());
             told_answer last;
             const bool is_served = eventually([&] {
