--- a/bench/control_cost_bench.cpp
+++ b/bench/control_cost_bench.cpp
@@ -141,7 +141,7 @@
         static_cast<void>(nodes_[from]->send(id_of(home), asked));
     }
 
-    void answer(std::size_t index, rpc::delivery taken) {
+    void answer(std::size_t index, const rpc::delivery& taken) {
         membership::agent& self = *handlers_[index];
         for (const rpc::message& entry : taken.messages) {
             if (const auto* asked = std::get_if<rpc::acquire>(&entry)) {
--- a/bench/rpc_cost_bench.cpp
+++ b/bench/rpc_cost_bench.cpp
@@ -90,7 +90,7 @@
     dispatcher.add("m", [](const std::string&) { return std::string{"true"}; });
     std::size_t bytes = 0;
     const json_rpc_transport transport = [&](const std::string& request) {
-        const std::string answer = dispatcher.handle(request);
+        std::string answer = dispatcher.handle(request);
         bytes += request.size() + answer.size();
         return answer;
     };
@@ -127,7 +127,7 @@
     for (const message& entry : sent.messages) {
         singles += encode_batch({sent.sequence, {entry}}).size();
     }
-    print("MessagePack, a batch a message, WebSocket", singles, 5 * 17, packed_time);
+    print("MessagePack, a batch a message, WebSocket", singles, std::size_t{5} * 17, packed_time);
 }
 
 void measure_carriers(const batch& sent) {
@@ -174,6 +174,7 @@
 
 } // namespace
 
+// NOLINTNEXTLINE(bugprone-exception-escape): a bench ends by an exception that it does not expect
 int main() {
     std::setvbuf(stdout, nullptr, _IOLBF, 0);
     const batch sent = one_request();
--- a/programs/cicadahatchd.cpp
+++ b/programs/cicadahatchd.cpp
@@ -5,11 +5,9 @@
 #include <csignal>
 #include <cstdio>
 #include <cxxopts.hpp>
-#include <fstream>
 #include <glog/logging.h>
 #include <iostream>
 #include <pthread.h>
-#include <sstream>
 
 /// \file
 /// \brief The daemon: reads its settings, serves until SIGTERM or SIGINT, then shuts down
@@ -38,13 +36,6 @@
     return described;
 }
 
-std::string read_file(const std::string& path) {
-    std::ifstream file{path};
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 sigset_t block_signals() {
     sigset_t signals;
     sigemptyset(&signals);
@@ -93,6 +84,7 @@
 
 } // namespace
 
+// NOLINTNEXTLINE(bugprone-exception-escape): only lack of memory is left to escape
 int main(int argc, char** argv) {
     cxxopts::Options described = describe();
     arguments given;
@@ -108,8 +100,7 @@
         std::cerr << "cicadahatchd: " << fault.what() << "\n";
         return exit_usage;
     }
-    const auto configured =
-        settings::parse_daemon_settings(read_file(given.settings_file), given.settings_file);
+    const auto configured = settings::load_daemon_settings(given.settings_file);
     for (const settings::field_error& fault : configured.errors) {
         std::cerr << to_string(fault) << "\n";
     }
--- a/src/claims/claim.hpp
+++ b/src/claims/claim.hpp
@@ -62,8 +62,8 @@
     service_id service;
     idempotency_key key;
     request_digest digest;
-    time_point deadline;       ///< nothing is sent after it
-    std::chrono::seconds kept; ///< the service's rule
+    time_point deadline;          ///< nothing is sent after it
+    std::chrono::seconds kept{0}; ///< the service's rule
 };
 
 /// The claim stands for another attempt that may be running.
--- a/src/serving/backend_directory.cpp
+++ b/src/serving/backend_directory.cpp
@@ -137,7 +137,9 @@
     if (row == nullptr || load.started < row->started) {
         return;
     }
-    if (load.started != row->started) {
+    // The first report tells which incarnation was drained; only a later one is another server.
+    const bool is_restarted = !row->started.empty() && load.started != row->started;
+    if (is_restarted) {
         row->is_drained = false;
     }
     row->started = load.started;
--- a/src/serving/completion_session.cpp
+++ b/src/serving/completion_session.cpp
@@ -289,7 +289,7 @@
     shared_.broker.release(*ticket_, ended, tokens);
 }
 
-void completion_session::fail(problem failure) {
+void completion_session::fail(const problem& failure) {
     end_ticket(rpc::release_outcome::caller_left);
     seen_.reason = metrics::refusal_reason{std::error_code(failure.code).message()};
     const bool is_refused = failure.ran == execution::not_run;
--- a/src/serving/completion_session.hpp
+++ b/src/serving/completion_session.hpp
@@ -47,7 +47,7 @@
     void note_backend_news(const attempt_failed& failed);
     void note_token_time();
     void end_ticket(rpc::release_outcome ended);
-    void fail(problem failure);
+    void fail(const problem& failure);
     void leave();
     void record(metrics::request_outcome ended);
 
--- a/src/serving/membership_network.cpp
+++ b/src/serving/membership_network.cpp
@@ -46,7 +46,7 @@
             events_.on_payload(value);
         })
         .on_message([this](rpc::delivery got) { inbox_->push(std::move(got)); })
-        .on_loss([this](const daemon_id& peer, std::vector<rpc::message> lost,
+        .on_loss([this](const daemon_id& peer, const std::vector<rpc::message>& lost,
                         const std::error_code& reason) {
             LOG_EVERY_N(WARNING, 20)
                 << "membership: messages to " << peer.str() << " lost: " << reason.message();
--- a/src/serving/plain_handler.cpp
+++ b/src/serving/plain_handler.cpp
@@ -255,7 +255,7 @@
     call.timeout = std::chrono::duration_cast<std::chrono::milliseconds>(running.deadline -
                                                                          shared_.time.now());
     call.may_send = [&] { return !running.is_caller_gone && held.may_send(shared_.time); };
-    const plain_answer answer = run_plain_call(shared_.directory, call);
+    plain_answer answer = run_plain_call(shared_.directory, call);
     if (answer) {
         static_cast<void>(claims_.record(std::move(held), to_outcome(*answer)));
     } else if (answer.error().ran == execution::not_run) {
--- a/test/support/cluster.cpp
+++ b/test/support/cluster.cpp
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace cicadahatch::test_support {
 
@@ -127,6 +128,7 @@
 }
 
 bool cluster::wait_until_ready() {
+    std::set<std::string> reported;
     const auto is_ready = [&](const process& running) {
         const std::string text = fetch(running.place("admin"), "/admin/v1/engines");
         const json content = json::parse(text, nullptr, false);
@@ -134,6 +136,9 @@
             return false;
         }
         for (const json& engine : content["engines"]) {
+            if (engine["kv_pieces_total"] > 0) {
+                reported.insert(engine["backend"].get<std::string>());
+            }
             if (engine["takes_work"] != true) {
                 return false;
             }
@@ -146,7 +151,7 @@
                 return false;
             }
         }
-        return true;
+        return daemons_.empty() || reported.size() == started_.size();
     });
 }
 
--- a/test/support/process.cpp
+++ b/test/support/process.cpp
@@ -24,6 +24,7 @@
 
 std::vector<char*> to_argv(const std::vector<std::string>& arguments) {
     std::vector<char*> argv;
+    argv.reserve(arguments.size() + 1);
     for (const std::string& argument : arguments) {
         // NOLINTNEXTLINE(cppcoreguidelines-pro-type-const-cast): posix_spawn changes nothing
         argv.push_back(const_cast<char*>(argument.c_str()));
