Let a request see what its daemon has just learnt of the servers

Cause: cells took news of servers at the next refresh, up to 100 ms later, and took an engine's first report for a restart, which freed the memory of the grants made before it: 'caller leaves, while queued' found a second request granted beside the first. Change: the directory counts its changes; a request refreshes the cells when the count is not theirs; engines enter a cell with their first report.

--- a/src/serving/backend_directory.cpp
+++ b/src/serving/backend_directory.cpp
@@ -128,6 +128,7 @@
     configured_ = accepted;
     services_ = std::move(services);
     rebuild(backends_, *services_);
+    ++version_;
 }
 
 void backend_directory::note_load(const backend_id& id, const engines::load_report& load,
@@ -137,11 +138,13 @@
     if (row == nullptr || load.started < row->started) {
         return;
     }
+    const bool took_work = takes_work(*row);
     // The first report tells which incarnation was drained; only a later one is another server.
     const bool is_restarted = !row->started.empty() && load.started != row->started;
     if (is_restarted) {
         row->is_drained = false;
     }
+    const bool is_new = load.started != row->started;
     row->started = load.started;
     row->load = load;
     row->reported = now;
@@ -149,11 +152,15 @@
     if (load.is_leaving) {
         row->left = load.started;
     }
+    if (is_new || takes_work(*row) != took_work) {
+        ++version_;
+    }
 }
 
 void backend_directory::note_reachable(const backend_id& id) {
     const std::lock_guard lock{mutex_};
     if (backend_row* row = backends_.find(id)) {
+        version_ += row->is_reachable ? 0 : 1;
         row->is_reachable = true;
     }
 }
@@ -161,6 +168,7 @@
 void backend_directory::note_unreachable(const backend_id& id) {
     const std::lock_guard lock{mutex_};
     if (backend_row* row = backends_.find(id)) {
+        version_ += row->is_reachable ? 1 : 0;
         row->is_reachable = false;
     }
 }
@@ -176,6 +184,7 @@
         return false;
     }
     row->left = left;
+    ++version_;
     return true;
 }
 
@@ -185,6 +194,7 @@
     if (row == nullptr) {
         return false;
     }
+    version_ += row->is_drained == is_drained ? 0 : 1;
     row->is_drained = is_drained;
     return true;
 }
--- a/src/serving/backend_directory.hpp
+++ b/src/serving/backend_directory.hpp
@@ -7,6 +7,7 @@
 #include "src/http/endpoint.hpp"
 #include "src/settings/service.hpp"
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -47,6 +48,9 @@
 public:
     /// \returns the configuration revision in force; empty before the first
     [[nodiscard]] revision configured() const;
+    /// \returns a number that grows whenever servers are added, restarted, or begin or cease to
+    /// take work
+    [[nodiscard]] std::uint64_t version() const noexcept { return version_.load(); }
     /// \returns the services in force; null before the first configuration
     [[nodiscard]] std::shared_ptr<const service_map> services() const;
     [[nodiscard]] std::optional<settings::service> service(const service_id& name) const;
@@ -87,6 +91,7 @@
     void end_plain(const backend_id& id);
 
 private:
+    std::atomic<std::uint64_t> version_{0};
     mutable std::mutex mutex_;
     revision configured_;
     std::shared_ptr<const service_map> services_;
--- a/src/serving/cell_host.cpp
+++ b/src/serving/cell_host.cpp
@@ -152,7 +152,7 @@
     const std::lock_guard lock{mutex_};
     std::set<backend_id> listed;
     for (const auto& [id, cell] : cells_) {
-        for (const scheduling::engine& engine : cell.state.engines.rows()) {
+        for (const backend_row& engine : cell.plan.engines) {
             listed.insert(engine.id);
         }
     }
@@ -185,7 +185,11 @@
 std::vector<scheduling::engine_spec> cell_host::specs_of(const cell_plan& plan) const {
     std::vector<scheduling::engine_spec> specs;
     for (const backend_row& server : plan.engines) {
-        specs.push_back(internal::to_spec(server));
+        // An engine that has not reported has no incarnation, and learning it later would look
+        // like a restart that freed all of its memory.
+        if (!server.started.empty()) {
+            specs.push_back(internal::to_spec(server));
+        }
     }
     return specs;
 }
--- a/src/serving/grant_broker.cpp
+++ b/src/serving/grant_broker.cpp
@@ -101,7 +101,8 @@
 }
 
 std::shared_ptr<grant_ticket> grant_broker::acquire(rpc::acquire asked) {
-    if (is_layout_stale()) {
+    // What this daemon has just learnt of its servers counts for this request already.
+    if (refreshed_version_ != directory_.version()) {
         refresh();
     }
     daemon_id home;
@@ -297,6 +298,7 @@
 }
 
 void grant_broker::refresh() {
+    const std::uint64_t version = directory_.version();
     if (is_layout_stale()) {
         lay_out();
     }
@@ -307,6 +309,7 @@
     for (const ticket_row& row : stale_rows()) {
         send_again(row);
     }
+    refreshed_version_ = version;
 }
 
 void grant_broker::lay_out() {
--- a/src/serving/grant_broker.hpp
+++ b/src/serving/grant_broker.hpp
@@ -9,6 +9,7 @@
 #include "src/serving/grant_ticket.hpp"
 #include "src/serving/peer_network.hpp"
 
+#include <atomic>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -97,6 +98,7 @@
     [[nodiscard]] std::vector<cell_plan> own_plans() const;
     [[nodiscard]] cell_plan with_present_state(cell_plan plan) const;
 
+    std::atomic<std::uint64_t> refreshed_version_{0}; ///< of the directory, at the last refresh()
     const clock& time_;
     peer_network& network_;
     backend_directory& directory_;
