--- a/bench/control_cost_bench.cpp
+++ b/bench/control_cost_bench.cpp
@@ -120,7 +120,7 @@
             .threads(40)
             .seeds(seeds)
             .timed_by(clock_)
-            .on_message([this, index](rpc::delivery taken) { answer(index, std::move(taken)); })
+            .on_message([this, index](const rpc::delivery& taken) { answer(index, taken); })
             .build()
             .value();
     }
--- a/src/serving/cell_host.cpp
+++ b/src/serving/cell_host.cpp
@@ -20,6 +20,9 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
+/// Time between two whole copies of a cell's grants, between which only changes are sent.
+constexpr std::chrono::seconds whole_copy_period{10};
+
 scheduling::request_spec to_spec(const daemon_id& owner, const rpc::acquire& asked,
                                  time_point now) {
     scheduling::request_spec spec;
@@ -115,6 +118,13 @@
     scheduling::set_paused(state, server.id, !takes_work(server));
 }
 
+/// \returns whether each engine has reported or does not answer
+bool is_surveyed(const cell_plan& plan) {
+    return std::all_of(plan.engines.begin(), plan.engines.end(), [](const backend_row& server) {
+        return !server.started.empty() || !server.is_reachable;
+    });
+}
+
 bool is_live(const std::vector<daemon_id>& live, const daemon_id& daemon) {
     return std::find(live.begin(), live.end(), daemon) != live.end();
 }
@@ -206,7 +216,7 @@
         if (is_new) {
             scheduling::cell_builder builder;
             builder.id(plan.id).model(plan.model);
-            cells_[plan.id] = {plan, builder.build(now), 0};
+            cells_[plan.id].state = builder.build(now);
             scheduling::begin_home(cells_[plan.id].state, peers, now);
             cancel_copied(plan.id, peers);
             for (const daemon_id& peer : peers) {
@@ -230,12 +240,12 @@
     if (copied == copied_.end()) {
         return;
     }
-    for (const rpc::grant_record& record : copied->second) {
+    for (const auto& [name, record] : copied->second) {
         if (is_live(live, record.holder)) {
             continue;
         }
         scheduling::grant orphaned;
-        orphaned.request = cell_name(record.request, record.attempt);
+        orphaned.request = name;
         orphaned.prefill = record.prefill_backend;
         orphaned.decode = record.decode_backend;
         cancel_at_engines(orphaned);
@@ -294,6 +304,10 @@
     if (cell == nullptr) {
         return refuse(from, asked, rpc::refusal_reason::not_home);
     }
+    // A new home decides nothing before it has heard of its engines; the owner asks again.
+    if (!is_surveyed(cell->plan)) {
+        return refuse(from, asked, rpc::refusal_reason::registration_pending);
+    }
     // A repeated request whose grant's message was lost gets the same grant again.
     const request_id name = cell_name(asked.request, asked.attempt);
     if (const scheduling::live_grant* held = cell->state.grants.find(name)) {
@@ -366,7 +380,17 @@
 
 void cell_host::on(const daemon_id& from, const rpc::copy_grants& copied) {
     static_cast<void>(from);
-    copied_[copied.cell] = copied.added;
+    // A lost copy leaves at most a period's grants unknown here; cancelling an ended one is safe.
+    auto& records = copied_[copied.cell];
+    if (copied.is_whole) {
+        records.clear();
+    }
+    for (const request_id& ended : copied.removed) {
+        records.erase(ended);
+    }
+    for (const rpc::grant_record& record : copied.added) {
+        records.insert_or_assign(cell_name(record.request, record.attempt), record);
+    }
 }
 
 void cell_host::renew(const std::vector<daemon_id>& live) {
@@ -438,20 +462,44 @@
             if (successor == successors.end()) {
                 continue;
             }
-            rpc::copy_grants copied;
-            copied.cell = id;
-            copied.sequence = ++cell.copies;
-            copied.is_whole = true;
-            for (const scheduling::live_grant& held : cell.state.grants.rows()) {
-                copied.added.push_back(to_record(held, now));
+            if (auto copied = changes_of(cell, successor->second, now)) {
+                outbox_.push_back({successor->second, std::move(*copied)});
             }
-            outbox_.push_back({successor->second, copied});
         }
         messages = take_outbox();
     }
     flush(std::move(messages));
 }
 
+std::optional<rpc::copy_grants> cell_host::changes_of(hosted_cell& cell, const daemon_id& successor,
+                                                      time_point now) {
+    const bool is_whole =
+        successor != cell.successor || now - cell.whole_copy_at > whole_copy_period;
+    std::set<request_id> present;
+    rpc::copy_grants copied;
+    for (const scheduling::live_grant& held : cell.state.grants.rows()) {
+        present.insert(held.id);
+        if (is_whole || cell.copied.count(held.id) == 0) {
+            copied.added.push_back(to_record(held, now));
+        }
+    }
+    for (const request_id& former : cell.copied) {
+        if (!is_whole && present.count(former) == 0) {
+            copied.removed.push_back(former);
+        }
+    }
+    cell.copied = std::move(present);
+    cell.successor = successor;
+    if (!is_whole && copied.added.empty() && copied.removed.empty()) {
+        return std::nullopt;
+    }
+    cell.whole_copy_at = is_whole ? now : cell.whole_copy_at;
+    copied.cell = cell.plan.id;
+    copied.sequence = ++cell.copies;
+    copied.is_whole = is_whole;
+    return copied;
+}
+
 void cell_host::send_grant(const cell_id& cell, const scheduling::grant& issued) {
     outbox_.push_back({issued.owner, to_granted(cell, issued)});
 }
--- a/src/serving/cell_host.hpp
+++ b/src/serving/cell_host.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -72,7 +73,7 @@
     /// \brief Runs the systems of all cells once and sends the answers.
     void tick();
 
-    /// \brief Sends the grants of each cell to the daemon that is next in line.
+    /// \brief Sends what has changed of each cell's grants to the daemon that is next in line.
     void copy_to(const std::map<cell_id, daemon_id>& successors);
 
 private:
@@ -80,6 +81,9 @@
         cell_plan plan;
         scheduling::cell_state state;
         std::uint64_t copies = 0;
+        daemon_id successor;         ///< whom the last copy went to
+        std::set<request_id> copied; ///< the grants that it holds
+        time_point whole_copy_at;
     };
     /// A message that is sent once the lock is released.
     struct outgoing {
@@ -103,6 +107,8 @@
     void send_grant(const cell_id& cell, const scheduling::grant& issued);
     void cancel_at_engines(const scheduling::grant& released);
     void cancel_copied(const cell_id& cell, const std::vector<daemon_id>& live);
+    [[nodiscard]] static std::optional<rpc::copy_grants>
+    changes_of(hosted_cell& cell, const daemon_id& successor, time_point now);
     void flush(std::vector<outgoing> messages);
     [[nodiscard]] std::vector<outgoing> take_outbox();
 
@@ -113,7 +119,8 @@
     sender send_;
     mutable std::mutex mutex_;
     std::map<cell_id, hosted_cell> cells_;
-    std::map<cell_id, std::vector<rpc::grant_record>> copied_;
+    /// Grants copied here by the homes that this daemon would follow.
+    std::map<cell_id, std::map<request_id, rpc::grant_record>> copied_;
     std::vector<outgoing> outbox_;
 };
 
--- a/src/serving/grant_broker.cpp
+++ b/src/serving/grant_broker.cpp
@@ -140,7 +140,14 @@
     wanted.domain_distance = domain_distance;
     const auto digests = digests_.digests_of(asked.model, idle_digests_);
     const auto target = scheduling::choose_cell(digests, domain_, wanted, random_);
-    return target ? target->cell : cell_id{};
+    if (target) {
+        return target->cell;
+    }
+    // Digests lag. Where all say that nothing takes work, the nearest home has the last word.
+    const auto nearest =
+        std::find_if(digests.begin(), digests.end(),
+                     [&](const scheduling::cell_digest& one) { return one.domain == domain_; });
+    return nearest == digests.end() ? cell_id{} : nearest->id;
 }
 
 daemon_id grant_broker::home_of(const cell_id& cell) const {
