Move the replay model to bench and name folders in one unit

Change: bench/replay holds the model as a library; test/support/paths gives the folders. No behaviour changes.

--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -214,7 +214,7 @@
     if (counts.empty()) {
         counts = {1, 20, 200};
     }
-    cluster running{CICADAHATCH_BINARY_DIR};
+    cluster running;
     start(running);
     measure_idle(running);
     measure_active(running);
--- a/test/support/replay/baseline_routers.cpp
+++ b/bench/replay/baseline_routers.cpp
@@ -1,4 +1,4 @@
-#include "test/support/replay/routers.hpp"
+#include "bench/replay/routers.hpp"
 
 #include <algorithm>
 #include <array>
--- a/test/support/replay/cell_router.cpp
+++ b/bench/replay/cell_router.cpp
@@ -1,5 +1,5 @@
+#include "bench/replay/routers.hpp"
 #include "cicadahatch/scheduling"
-#include "test/support/replay/routers.hpp"
 
 #include <memory>
 #include <string>
--- a/test/support/replay/routers.hpp
+++ b/bench/replay/routers.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "bench/replay/world.hpp"
 #include "src/scheduling/cell_policy.hpp"
 #include "src/scheduling/cell_state.hpp"
 #include "src/scheduling/tick.hpp"
-#include "test/support/replay/world.hpp"
 
 #include <functional>
 
--- a/test/support/replay/summary.cpp
+++ b/bench/replay/summary.cpp
@@ -1,4 +1,4 @@
-#include "test/support/replay/summary.hpp"
+#include "bench/replay/summary.hpp"
 
 #include <algorithm>
 #include <functional>
--- a/test/support/replay/summary.hpp
+++ b/bench/replay/summary.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "test/support/replay/world.hpp"
+#include "bench/replay/world.hpp"
 
 namespace cicadahatch::replay {
 
--- a/test/support/replay/trace.cpp
+++ b/bench/replay/trace.cpp
@@ -1,4 +1,4 @@
-#include "test/support/replay/trace.hpp"
+#include "bench/replay/trace.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/test/support/replay/world.cpp
+++ b/bench/replay/world.cpp
@@ -1,4 +1,4 @@
-#include "test/support/replay/world.hpp"
+#include "bench/replay/world.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/test/support/replay/world.hpp
+++ b/bench/replay/world.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "test/support/replay/trace.hpp"
+#include "bench/replay/trace.hpp"
 
 #include <functional>
 #include <list>
--- a/bench/replay_bench.cpp
+++ b/bench/replay_bench.cpp
@@ -1,8 +1,8 @@
 /// Replays both deployments' cases through the scheduling module and the ways it was weighed
 /// against. `--quick`: one seed and three cases.
 
-#include "test/support/replay/routers.hpp"
-#include "test/support/replay/summary.hpp"
+#include "bench/replay/routers.hpp"
+#include "bench/replay/summary.hpp"
 
 #include <cstdio>
 #include <cxxopts.hpp>
--- a/test/demo/deployment.cpp
+++ b/test/demo/deployment.cpp
@@ -1,5 +1,6 @@
 #include "test/demo/deployment.hpp"
 
+#include "test/support/paths.hpp"
 #include "test/support/require.hpp"
 
 #include <utility>
@@ -15,7 +16,7 @@
 constexpr int decode_engines = 2;
 
 std::string service_file(const deployment& shown, const std::string& service) {
-    return std::string{CICADAHATCH_SOURCE_DIR} + "/examples/" + shown.name + "/services/" +
+    return cicadahatch::test_support::source_dir() + "/examples/" + shown.name + "/services/" +
            service + "/" + service + ".service.json";
 }
 
--- a/test/demo/driver.cpp
+++ b/test/demo/driver.cpp
@@ -3,6 +3,7 @@
 #include "test/demo/tool.hpp"
 #include "test/demo/traffic.hpp"
 #include "test/support/http_calls.hpp"
+#include "test/support/paths.hpp"
 
 #include <atomic>
 #include <cstdio>
@@ -172,8 +173,8 @@
     const std::string admin = to_string(running.admin("entry-a-1")) + "," +
                               to_string(running.admin("entry-n-1")) + "," +
                               to_string(running.admin("entry-n-2"));
-    if (!demo::run_tool({"report", "burn", "--admin", admin, "--services",
-                         std::string{CICADAHATCH_SOURCE_DIR} + "/examples"})) {
+    if (!demo::run_tool(
+            {"report", "burn", "--admin", admin, "--services", source_dir() + "/examples"})) {
         told.wrong("cicadahatch report burn failed");
     }
 }
@@ -193,7 +194,7 @@
 
 int main() {
     outcomes told;
-    cluster running{CICADAHATCH_BINARY_DIR};
+    cluster running;
     start(running);
     send_prompts(running, told);
     send_bookings(running, told);
--- a/test/demo/tool.cpp
+++ b/test/demo/tool.cpp
@@ -1,5 +1,7 @@
 #include "test/demo/tool.hpp"
 
+#include "test/support/paths.hpp"
+
 #include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -7,7 +9,8 @@
 namespace demo {
 
 bool run_tool(const std::vector<std::string>& arguments) {
-    std::vector<std::string> words{std::string{CICADAHATCH_BINARY_DIR} + "/programs/cicadahatch"};
+    std::vector<std::string> words{cicadahatch::test_support::binary_dir() +
+                                   "/programs/cicadahatch"};
     words.insert(words.end(), arguments.begin(), arguments.end());
     std::vector<char*> argv;
     argv.reserve(words.size() + 1);
--- a/test/invariants/caller_leaves_invariant_process_test.cpp
+++ b/test/invariants/caller_leaves_invariant_process_test.cpp
@@ -38,7 +38,7 @@
 
 /// Engines keep a prefill's result for longer than any test waits, so that only an order frees it.
 struct caller_leaves_fixture {
-    cluster running{CICADAHATCH_BINARY_DIR};
+    cluster running;
 
     caller_leaves_fixture() {
         running.start_backend("pattern", "p1", backend_role::prefill, "port-louis-1",
--- a/test/invariants/daemons_invariant_process_test.cpp
+++ b/test/invariants/daemons_invariant_process_test.cpp
@@ -24,7 +24,7 @@
 
 /// Three daemons of one failure domain and one of another.
 struct daemons_fixture {
-    cluster running{CICADAHATCH_BINARY_DIR};
+    cluster running;
     const std::array<std::string, 3> names = {"entry-1", "entry-2", "entry-3"};
 
     daemons_fixture() {
--- a/test/invariants/leaving_invariant_process_test.cpp
+++ b/test/invariants/leaving_invariant_process_test.cpp
@@ -19,7 +19,7 @@
 constexpr std::chrono::milliseconds leaving_bound{3000};
 
 struct leaving_fixture {
-    cluster running{CICADAHATCH_BINARY_DIR};
+    cluster running;
     int prompts_sent = 0;
 
     leaving_fixture() {
--- a/test/invariants/not_run_invariant_process_test.cpp
+++ b/test/invariants/not_run_invariant_process_test.cpp
@@ -35,7 +35,7 @@
 };
 
 struct not_run_fixture {
-    cluster running{CICADAHATCH_BINARY_DIR};
+    cluster running;
     std::multiset<std::string> ran_before; ///< at processes that have been restarted since
 
     not_run_fixture() {
--- a/test/invariants/shutdown_invariant_process_test.cpp
+++ b/test/invariants/shutdown_invariant_process_test.cpp
@@ -17,7 +17,7 @@
 constexpr int queued = 10;
 
 struct shutdown_fixture {
-    cluster running{CICADAHATCH_BINARY_DIR};
+    cluster running;
     std::vector<std::future<streamed_answer>> answers;
 
     shutdown_fixture() {
--- a/test/invariants/whole_answers_invariant_process_test.cpp
+++ b/test/invariants/whole_answers_invariant_process_test.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t tokens_before_fault = 10;
 
 struct whole_answers_fixture {
-    cluster running{CICADAHATCH_BINARY_DIR};
+    cluster running;
 
     whole_answers_fixture() {
         running.start_backend("pattern", "p1", backend_role::prefill, "port-louis-1");
--- a/test/scheduling/replay_invariant_test.cpp
+++ b/test/scheduling/replay_invariant_test.cpp
@@ -1,6 +1,6 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
-#include "test/support/replay/routers.hpp"
-#include "test/support/replay/summary.hpp"
+#include "bench/replay/routers.hpp"
+#include "bench/replay/summary.hpp"
 #include "test/support/scheduling_invariants.hpp"
 
 #include <doctest/doctest.h>
--- a/test/serving/bad_input_process_test.cpp
+++ b/test/serving/bad_input_process_test.cpp
@@ -21,7 +21,7 @@
 constexpr long max_log_lines = 50;
 
 struct bad_input_fixture {
-    cluster running{CICADAHATCH_BINARY_DIR};
+    cluster running;
 
     bad_input_fixture() {
         running.start_backend("pattern", "p1", backend_role::prefill, "a");
--- a/test/serving/shared_cells_process_test.cpp
+++ b/test/serving/shared_cells_process_test.cpp
@@ -16,7 +16,7 @@
 
 /// Three daemons in two failure domains; both domains have engines.
 struct shared_cells_fixture {
-    cluster running{CICADAHATCH_BINARY_DIR};
+    cluster running;
 
     shared_cells_fixture() {
         for (const std::string domain : {"north", "south"}) {
--- a/test/serving/whole_path_process_test.cpp
+++ b/test/serving/whole_path_process_test.cpp
@@ -13,7 +13,7 @@
 using nlohmann::json;
 
 struct whole_path_fixture {
-    cluster running{CICADAHATCH_BINARY_DIR};
+    cluster running;
 
     whole_path_fixture() {
         running.start_backend("pattern", "p1", backend_role::prefill, "port-louis-1");
--- a/test/settings/load_test.cpp
+++ b/test/settings/load_test.cpp
@@ -1,5 +1,6 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "cicadahatch/settings"
+#include "test/support/paths.hpp"
 
 #include <doctest/doctest.h>
 
@@ -10,7 +11,7 @@
 
 using namespace cicadahatch;
 
-const std::string examples = std::string{CICADAHATCH_SOURCE_DIR} + "/examples";
+const std::string examples = test_support::source_dir() + "/examples";
 
 } // namespace
 
--- a/test/support/child_program.cpp
+++ b/test/support/child_program.cpp
@@ -1,6 +1,7 @@
 #include "test/support/child_program.hpp"
 
 #include "cicadahatch/core"
+#include "test/support/paths.hpp"
 
 #include <array>
 #include <csignal>
@@ -48,7 +49,7 @@
 } // namespace
 
 child_program::child_program(const std::string& path, const std::vector<std::string>& arguments) {
-    std::vector<std::string> words = {std::string{CICADAHATCH_BINARY_DIR} + "/" + path};
+    std::vector<std::string> words = {binary_dir() + "/" + path};
     words.insert(words.end(), arguments.begin(), arguments.end());
     std::array<int, 2> ends{};
     const int piped = pipe2(ends.data(), O_CLOEXEC);
--- a/test/support/cluster.cpp
+++ b/test/support/cluster.cpp
@@ -5,6 +5,7 @@
 #include "cicadahatch/configuration"
 #include "cicadahatch/platform"
 #include "test/support/http_calls.hpp"
+#include "test/support/paths.hpp"
 
 #include <cstdio>
 #include <cstdlib>
@@ -48,13 +49,13 @@
 
 } // namespace
 
-cluster::cluster(std::string binary_dir)
-    : binary_dir_(std::move(binary_dir)), scratch_dir_(make_scratch_dir()),
-      platform_({binary_dir_ + "/test/fake_platform", "--listen", "127.0.0.1:0"}) {}
+cluster::cluster()
+    : scratch_dir_(make_scratch_dir()),
+      platform_({binary_dir() + "/test/fake_platform", "--listen", "127.0.0.1:0"}) {}
 
 void cluster::start_backend(const std::string& service, const std::string& name, backend_role role,
                             const std::string& domain, std::vector<std::string> extra) {
-    std::vector<std::string> arguments = {binary_dir_ + "/test/fake_engine", "--role",
+    std::vector<std::string> arguments = {binary_dir() + "/test/fake_engine", "--role",
                                           name_of(role)};
     arguments.insert(arguments.end(), extra.begin(), extra.end());
     process started{arguments, scratch_dir_ + "/" + name + ".log"};
@@ -92,7 +93,7 @@
     file << "  \"platform_endpoints\": [" << quoted(platform_.place()) << "],\n";
     file << "  \"seed_peers\": [" << peers << "]\n}\n";
     file.close();
-    process started{{binary_dir_ + "/programs/cicadahatchd", "--settings", path},
+    process started{{binary_dir() + "/programs/cicadahatchd", "--settings", path},
                     scratch_dir_ + "/" + name + ".log"};
     daemons_.insert_or_assign(name, std::move(started));
 }
--- a/test/support/cluster.hpp
+++ b/test/support/cluster.hpp
@@ -13,8 +13,7 @@
 /// \brief Processes of one deployment on loopback: platform, backend servers and daemons.
 class cluster {
 public:
-    /// \param binary_dir the build's directory
-    explicit cluster(std::string binary_dir);
+    cluster();
 
     [[nodiscard]] process& platform() noexcept { return platform_; }
     [[nodiscard]] process& backend(const std::string& name) { return backends_.at(name); }
@@ -65,7 +64,6 @@
         std::vector<std::string> arguments;
     };
 
-    std::string binary_dir_;
     std::string scratch_dir_;
     process platform_;
     std::map<std::string, process> backends_;
--- a/test/support/process.cpp
+++ b/test/support/process.cpp
@@ -129,8 +129,4 @@
     }
 }
 
-std::string built_program(const std::string& binary_dir, const std::string& name) {
-    return binary_dir + "/" + name;
-}
-
 } // namespace cicadahatch::test_support
--- a/test/support/process.hpp
+++ b/test/support/process.hpp
@@ -45,7 +45,4 @@
     std::map<std::string, http::endpoint> places_;
 };
 
-/// \returns the path of a program of this build, such as "programs/cicadahatchd"
-[[nodiscard]] std::string built_program(const std::string& binary_dir, const std::string& name);
-
 } // namespace cicadahatch::test_support
--- a/test/tool/command_test.cpp
+++ b/test/tool/command_test.cpp
@@ -1,5 +1,6 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "programs/cicadahatch/command.hpp"
+#include "test/support/paths.hpp"
 
 #include <doctest/doctest.h>
 
@@ -13,7 +14,7 @@
 struct command_fixture {
     std::ostringstream out;
     std::ostringstream err;
-    const std::string source = CICADAHATCH_SOURCE_DIR;
+    const std::string source = test_support::source_dir();
 
     int run(const tool::argument_list& arguments) {
         out.str("");
--- a/test/tool/daemons_test.cpp
+++ b/test/tool/daemons_test.cpp
@@ -3,6 +3,7 @@
 #include "cicadahatch/metrics"
 #include "programs/cicadahatch/command.hpp"
 #include "programs/cicadahatch/in_force.hpp"
+#include "test/support/paths.hpp"
 
 #include <doctest/doctest.h>
 
@@ -145,7 +146,7 @@
 }
 
 TEST_CASE_FIXTURE(daemons_fixture, "report, burn in each format, objectives of the files") {
-    const std::string files = std::string{CICADAHATCH_SOURCE_DIR} + "/examples";
+    const std::string files = test_support::source_dir() + "/examples";
     CHECK(run({"report", "burn", "--services", files}) == 0);
     CHECK(out.str().find("soil-route") != std::string::npos);
     CHECK_NOTHROW(static_cast<void>(printed()));
