Give a cell that lost its only prefill engine one of its decode engines

Measured per 5 s: the dead engine's domain has no prefill engine left, so its slots (40 of 140) are empty 5 s after the death while the other domains' slots are full (utility) or their prefill engines are 100% busy (association).

The usual hysteresis (30 s of pressure, the other pool below 60%) can't answer a pool without engines in time.

Change: a pool without engines is pressed whatever its use and gets an engine after 3 s from a pool of two or more; signature unchanged. The replay plays the change: pause, drain, 5 s in the model, prefill engine.

--- a/bench/replay/cell_router.cpp
+++ b/bench/replay/cell_router.cpp
@@ -1,3 +1,5 @@
+#include "bench/replay/cell_engines.hpp"
+#include "bench/replay/cell_roles.hpp"
 #include "bench/replay/routers.hpp"
 #include "cicadahatch/scheduling"
 
@@ -21,6 +23,7 @@
     scheduling::cell_policy policy;
     cell_observer observer;
     std::vector<scheduling::cell_state> states;
+    std::vector<cell_roles> roles;
     std::vector<scheduling::cell_digest> digests;
     std::vector<std::size_t> cell_of;      ///< by request
     std::vector<bool> has_spilled;         ///< by request
@@ -35,53 +38,6 @@
 std::size_t number_of(const request_id& id) {
     return std::stoul(id.str().substr(1));
 }
-backend_id prefill_id(std::size_t number) {
-    return backend_id{"p" + std::to_string(number)};
-}
-backend_id decode_id(std::size_t number) {
-    return backend_id{"d" + std::to_string(number)};
-}
-std::size_t number_of(const backend_id& id) {
-    return std::stoul(id.str().substr(1));
-}
-
-scheduling::engine_spec prefill_spec(std::size_t number) {
-    scheduling::engine_spec spec;
-    spec.id = prefill_id(number);
-    spec.role = backend_role::prefill;
-    spec.link = scheduling::link_id{"l" + std::to_string(number)};
-    spec.prefill_tokens_per_second = prefill_rate;
-    return spec;
-}
-
-scheduling::engine_spec decode_spec(std::size_t number) {
-    scheduling::engine_spec spec;
-    spec.id = decode_id(number);
-    spec.role = backend_role::decode;
-    spec.slots = slot_count;
-    spec.pieces = piece_count;
-    spec.piece_tokens = piece_tokens;
-    spec.step_base = step_base;
-    spec.step_per_stream = step_per_stream;
-    spec.kv_bytes_per_token = kv_bytes;
-    return spec;
-}
-
-scheduling::cell_state make_cell(const deployment& of, std::size_t domain, std::size_t first) {
-    std::vector<scheduling::engine_spec> engines{prefill_spec(domain)};
-    const auto count = static_cast<std::size_t>(of.decode_engines[domain]);
-    for (std::size_t number = first; number < first + count; ++number) {
-        engines.push_back(decode_spec(number));
-    }
-    return scheduling::cell_builder{}
-        .id(cell_id{"cell" + std::to_string(domain)})
-        .model(model_id{"model"})
-        .engines(engines)
-        .links({{engines.front().link, link_rate}})
-        .services({of.service})
-        .build(replay_begin);
-}
-
 domain_id domain_of(std::size_t number) {
     return domain_id{std::to_string(number)};
 }
@@ -141,8 +97,8 @@
 
 void take_grant(world& in, const scheduling::grant& granted) {
     const std::size_t number = number_of(granted.request);
-    in.requests[number].decode = number_of(granted.decode);
-    after(in, to_engine, [&in, number, prefill = number_of(granted.prefill)] {
+    in.requests[number].decode = engine_number(granted.decode);
+    after(in, to_engine, [&in, number, prefill = prefill_row_of(in, granted.prefill)] {
         start_prefill(in, number, prefill);
     });
 }
@@ -171,12 +127,22 @@
     if (all.ticks++ % ticks_between_digests != 0) {
         return;
     }
+    for (std::size_t cell = 0; cell < all.states.size(); ++cell) {
+        review_roles(in, all.states[cell], all.roles[cell]);
+    }
     all.digests.clear();
     for (std::size_t cell = 0; cell < all.states.size(); ++cell) {
         all.digests.push_back(scheduling::make_digest(all.states[cell], domain_of(cell), in.now));
     }
 }
 
+/// \returns the prefill backlog of an engine that was a decode engine at the beginning
+duration backlog_of(const decode_row& engine, const world_report& report) {
+    const bool has_changed =
+        engine.as_prefill && *engine.as_prefill < report.prefill_backlog.size();
+    return has_changed ? report.prefill_backlog[*engine.as_prefill] : duration{0};
+}
+
 void take_report(cells& all, const world& in, const world_report& report) {
     for (std::size_t cell = 0; cell < all.states.size(); ++cell) {
         scheduling::load_report told;
@@ -187,14 +153,14 @@
             told.prefill_backlog = report.prefill_backlog[cell];
             scheduling::ingest_load(all.states[cell], told, in.now);
         }
-        told.prefill_backlog = duration{0};
         const auto count = static_cast<std::size_t>(in.fleet.decode_engines[cell]);
         for (std::size_t number = all.first_decode[cell]; number < all.first_decode[cell] + count;
              ++number) {
             told.backend = decode_id(number);
+            told.prefill_backlog = backlog_of(in.decodes[number], report);
             told.running = report.streams[number];
             told.used_pieces = report.pieces[number];
-            if (!report.is_lost[domain_count + number]) {
+            if (!report.is_lost[report.prefill_backlog.size() + number]) {
                 scheduling::ingest_load(all.states[cell], told, in.now);
             }
         }
@@ -225,7 +191,7 @@
 }
 
 std::shared_ptr<cells> make_cells(const deployment& of, const scheduling::cell_policy& policy,
-                                  cell_observer observer) {
+                                  cell_observer observer, const scheduling::role_rule& rule) {
     auto all = std::make_shared<cells>();
     all->policy = policy;
     all->policy.kv_retention = kv_kept;
@@ -236,6 +202,9 @@
         all->states.push_back(make_cell(of, domain, first));
         first += static_cast<std::size_t>(of.decode_engines[domain]);
     }
+    cell_roles fresh;
+    fresh.rule = rule;
+    all->roles.assign(domain_count, fresh);
     return all;
 }
 
@@ -246,9 +215,16 @@
                                                                 : scheduling::utility_weights());
 }
 
+scheduling::role_rule fixed_roles() {
+    scheduling::role_rule rule;
+    rule.settled = duration::max();
+    rule.settled_without_engine = duration::max();
+    return rule;
+}
+
 router cell_router(const deployment& of, const scheduling::cell_policy& policy,
-                   cell_observer observer) {
-    const auto all = make_cells(of, policy, std::move(observer));
+                   cell_observer observer, const scheduling::role_rule& roles) {
+    const auto all = make_cells(of, policy, std::move(observer), roles);
     router built;
     built.name = "cells";
     built.arrived = [all](world& in, std::size_t number) {
--- a/bench/replay/routers.hpp
+++ b/bench/replay/routers.hpp
@@ -3,6 +3,7 @@
 #include "bench/replay/world.hpp"
 #include "src/scheduling/cell_policy.hpp"
 #include "src/scheduling/cell_state.hpp"
+#include "src/scheduling/role_change.hpp"
 #include "src/scheduling/tick.hpp"
 
 #include <functional>
@@ -16,7 +17,11 @@
 
 /// \returns a cell in each failure domain, run by the scheduling module
 [[nodiscard]] router cell_router(const deployment& of, const scheduling::cell_policy& policy,
-                                 cell_observer observer = {});
+                                 cell_observer observer = {},
+                                 const scheduling::role_rule& roles = {});
+
+/// \returns a rule under which no engine changes its role
+[[nodiscard]] scheduling::role_rule fixed_roles();
 
 /// \returns round robin, first in first out, prefill at once, no reservation
 [[nodiscard]] router naive_router();
--- a/bench/replay/trace.hpp
+++ b/bench/replay/trace.hpp
@@ -80,6 +80,8 @@
 inline constexpr std::chrono::milliseconds step_base{10};
 inline constexpr std::chrono::milliseconds step_per_stream{1};
 inline constexpr std::chrono::milliseconds kv_kept{800};
+/// From the order to the first work in the new role, of an engine without streams.
+inline constexpr std::chrono::seconds role_change_time{5};
 
 /// \returns the time of one prefill on an idle engine
 [[nodiscard]] duration prefill_time(std::uint32_t prompt_tokens);
--- a/bench/replay/world.cpp
+++ b/bench/replay/world.cpp
@@ -141,7 +141,7 @@
 }
 
 bool has_room(const decode_row& engine, const request_row& request) {
-    return !engine.is_dead && engine.taken_slots < slot_count &&
+    return !engine.is_dead && !engine.as_prefill && engine.taken_slots < slot_count &&
            engine.taken_pieces + pieces_of(request) <= piece_count;
 }
 
@@ -379,6 +379,14 @@
     }
 }
 
+void change_to_prefill(world& in, std::size_t decode, std::function<void()> changed) {
+    after(in, role_change_time, [&in, decode, changed = std::move(changed)] {
+        in.decodes[decode].as_prefill = in.prefills.size();
+        in.prefills.emplace_back();
+        changed();
+    });
+}
+
 void play(world& in, router& routes, const std::vector<arrival>& trace) {
     in.routes = &routes;
     plan_arrivals(in, trace);
--- a/bench/replay/world.hpp
+++ b/bench/replay/world.hpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <list>
+#include <optional>
 #include <queue>
 
 namespace cicadahatch::replay {
@@ -52,6 +53,7 @@
     std::list<std::size_t> pending; ///< prefilled requests that wait for a slot
     bool is_stepping = false;
     bool is_dead = false;
+    std::optional<std::size_t> as_prefill; ///< its row among the prefill engines, after a change
 };
 
 /// \brief A load report of every engine, as all routers get it.
@@ -61,7 +63,7 @@
     std::vector<duration> prefill_backlog;
     std::vector<std::uint32_t> streams;
     std::vector<std::uint32_t> pieces;
-    std::vector<bool> is_lost; ///< by engine, prefill engines first
+    std::vector<bool> is_lost; ///< by engine, first the prefill engines of that time
 };
 
 struct world;
@@ -118,6 +120,10 @@
 
 void refuse(world& in, std::size_t number);
 
+/// \brief Turns a decode engine that has no streams into a prefill engine.
+/// \param changed called role_change_time later
+void change_to_prefill(world& in, std::size_t decode, std::function<void()> changed);
+
 /// \brief Plays a whole trace.
 void play(world& in, router& routes, const std::vector<arrival>& trace);
 
--- a/bench/replay_bench.cpp
+++ b/bench/replay_bench.cpp
@@ -62,16 +62,26 @@
                 sums.late / seeds, sums.urgent_p99_ms / seeds);
 }
 
+std::vector<router_factory> ways_for(const deployment& fleet, const scenario& played) {
+    std::vector<router_factory> ways = {naive_router, lone_router, two_choice_router, quota_router,
+                                        [&] { return cell_router(fleet, policy_of(fleet)); }};
+    if (played.dead_prefill_engine >= 0) {
+        ways.emplace_back([&] {
+            router routes = cell_router(fleet, policy_of(fleet), {}, fixed_roles());
+            routes.name = "fixed roles";
+            return routes;
+        });
+    }
+    return ways;
+}
+
 void run_case(const deployment& fleet, const scenario& played,
               const std::vector<std::uint64_t>& seeds) {
     std::printf("%s, %s\n", fleet.name.c_str(), played.name.c_str());
     std::printf("  %-12s %6s %6s %7s %7s %7s %8s %8s %8s %7s %6s %7s\n", "way", "asked", "good",
                 "/ideal", "/small", "/naive", "wasted", "worst", "urgent", "rest", "late", "u p99");
-    const std::vector<router_factory> ways = {naive_router, lone_router, two_choice_router,
-                                              quota_router,
-                                              [&] { return cell_router(fleet, policy_of(fleet)); }};
     double naive_good = 0;
-    for (const router_factory& make : ways) {
+    for (const router_factory& make : ways_for(fleet, played)) {
         row sums;
         for (const std::uint64_t seed : seeds) {
             add_run(sums, fleet, played, seed, make);
--- a/src/scheduling/role_change.cpp
+++ b/src/scheduling/role_change.cpp
@@ -6,7 +6,24 @@
 
 namespace {
 
+constexpr std::uint32_t smallest_giving_pool = 2;
+
+/// \returns the role that no engine of the cell has, or plain
+backend_role role_without_engine(const role_balance& balance) {
+    if (balance.prefill_engines == 0 && balance.decode_engines > 0) {
+        return backend_role::prefill;
+    }
+    if (balance.decode_engines == 0 && balance.prefill_engines > 0) {
+        return backend_role::decode;
+    }
+    return backend_role::plain;
+}
+
 backend_role pressed_pool(const role_balance& balance, const role_rule& rule) {
+    const backend_role missing = role_without_engine(balance);
+    if (missing != backend_role::plain) {
+        return missing;
+    }
     if (balance.prefill_use > rule.pressed_use && balance.prefill_use > balance.decode_use) {
         return backend_role::prefill;
     }
@@ -17,7 +34,7 @@
 }
 
 bool can_give_engine(double use, std::uint32_t engines, const role_rule& rule) {
-    if (engines < 2) {
+    if (engines < smallest_giving_pool) {
         return false;
     }
     const double use_afterwards = use * engines / (engines - 1);
@@ -46,13 +63,20 @@
 
 std::optional<backend_role> wanted_role_change(const role_balance& balance, const role_rule& rule,
                                                time_point now) {
-    if (!balance.pressed_since || now - *balance.pressed_since < rule.settled) {
+    const bool is_without_engine = role_without_engine(balance) != backend_role::plain;
+    const duration settled = is_without_engine ? rule.settled_without_engine : rule.settled;
+    if (!balance.pressed_since || now - *balance.pressed_since < settled) {
         return std::nullopt;
     }
     if (balance.changed_at && now - *balance.changed_at < rule.spacing) {
         return std::nullopt;
     }
     const bool needs_prefill = balance.pressed == backend_role::prefill;
+    if (is_without_engine) {
+        const std::uint32_t giving =
+            needs_prefill ? balance.decode_engines : balance.prefill_engines;
+        return giving >= smallest_giving_pool ? std::optional{balance.pressed} : std::nullopt;
+    }
     const bool can_give = needs_prefill
                               ? can_give_engine(balance.decode_use, balance.decode_engines, rule)
                               : can_give_engine(balance.prefill_use, balance.prefill_engines, rule);
--- a/test/scheduling/choice_test.cpp
+++ b/test/scheduling/choice_test.cpp
@@ -130,3 +130,22 @@
         CHECK_FALSE(after(0.5, 0.3, 12s));
     }
 }
+
+TEST_CASE_FIXTURE(role_fixture, "role change, pool without engines, wanted soon whatever the use") {
+    balance.prefill_engines = 0;
+    CHECK_FALSE(after(0, 0.9, 2s));
+    CHECK(after(0, 0.9, 3s) == backend_role::prefill);
+}
+
+TEST_CASE_FIXTURE(role_fixture, "role change, pool without engines and a single other, none") {
+    balance.prefill_engines = 0;
+    balance.decode_engines = 1;
+    CHECK_FALSE(after(0, 0.1, 60s));
+}
+
+TEST_CASE_FIXTURE(role_fixture, "role change, only engine is back within the wait, none") {
+    balance.prefill_engines = 0;
+    CHECK_FALSE(after(0, 0.9, 2s));
+    balance.prefill_engines = 1;
+    CHECK_FALSE(after(0.5, 0.9, 10s));
+}
--- a/test/scheduling/replay_invariant_test.cpp
+++ b/test/scheduling/replay_invariant_test.cpp
@@ -118,3 +118,23 @@
         }
     }
 }
+
+TEST_CASE_FIXTURE(replay_fixture,
+                  "replay, only prefill engine dies, a change of role serves more") {
+    for (const deployment& fleet : fleets) {
+        for (const scenario& played : all_scenarios()) {
+            if (played.dead_prefill_engine < 0) {
+                continue;
+            }
+            CAPTURE(fleet.name);
+            const std::uint64_t seed = seeds.front();
+            const scheduling::cell_policy policy = policy_of(fleet);
+            const summary changed = run(fleet, played, seed, cell_router(fleet, policy));
+            const summary fixed =
+                run(fleet, played, seed, cell_router(fleet, policy, {}, fixed_roles()));
+            CHECK(static_cast<double>(changed.good) >=
+                  (1 + tolerance) * static_cast<double>(fixed.good));
+            CHECK(changed.urgent_good >= least_urgent_part);
+        }
+    }
+}
