Split the copies of grants and the messages of cells from the cell host

Change: grant_copy (the home's side), copied_grants (the successor's side) and internal/cell_messages hold what they name; to_places() is one internal function; the store's process test uses the process fixture. No behaviour changes.

--- a/src/serving/cell_host.cpp
+++ b/src/serving/cell_host.cpp
@@ -4,6 +4,7 @@
 #include "src/scheduling/cell_inputs.hpp"
 #include "src/scheduling/error.hpp"
 #include "src/scheduling/tick.hpp"
+#include "src/serving/internal/cell_messages.hpp"
 #include "src/serving/internal/engine_specs.hpp"
 #include "src/serving/internal/wire_names.hpp"
 
@@ -13,103 +14,12 @@
 
 using internal::attempt_of;
 using internal::cell_name;
+using internal::to_granted;
+using internal::to_live;
+using internal::to_refused;
 
 namespace {
 
-using std::chrono::duration_cast;
-using std::chrono::microseconds;
-using std::chrono::milliseconds;
-
-/// Time between two whole copies of a cell's grants, between which only changes are sent.
-constexpr std::chrono::seconds whole_copy_period{10};
-
-scheduling::request_spec to_spec(const daemon_id& owner, const rpc::acquire& asked,
-                                 time_point now) {
-    scheduling::request_spec spec;
-    spec.id = cell_name(asked.request, asked.attempt);
-    spec.owner = owner;
-    spec.service = asked.service;
-    spec.model = asked.model;
-    spec.team = asked.team;
-    spec.rank = asked.work_rank;
-    spec.prompt_tokens = asked.prompt_tokens + asked.generated_tokens;
-    spec.expected_output_tokens = asked.expected_output_tokens;
-    spec.prefix_hashes = asked.prefix_hashes;
-    spec.arrived = now - asked.waited;
-    spec.first_token = asked.first_token_target;
-    spec.between_tokens = asked.between_tokens_target;
-    if (asked.gives_up_after.count() > 0) {
-        spec.deadline = now + asked.gives_up_after;
-    }
-    return spec;
-}
-
-rpc::granted to_granted(const cell_id& cell, const scheduling::grant& issued) {
-    const engines::attempt_id attempt = attempt_of(issued.request);
-    rpc::granted told;
-    told.request = attempt.request;
-    told.attempt = attempt.number;
-    told.cell = cell;
-    told.grant = issued.number;
-    told.prefill_backend = issued.prefill;
-    told.decode_backend = issued.decode;
-    told.expected_cached_tokens = issued.expected_cached_tokens;
-    told.kv_pieces = issued.pieces;
-    told.predicted_first_token = duration_cast<microseconds>(issued.predicted_first_token);
-    return told;
-}
-
-rpc::refused to_refused(const cell_id& cell, const scheduling::refusal& refusal) {
-    const engines::attempt_id attempt = attempt_of(refusal.request);
-    rpc::refused told;
-    told.request = attempt.request;
-    told.attempt = attempt.number;
-    told.cell = cell;
-    told.reason = internal::to_reason(refusal.reason);
-    told.retry_after = duration_cast<milliseconds>(refusal.retry_after);
-    return told;
-}
-
-rpc::grant_record to_record(const scheduling::live_grant& held, time_point now) {
-    const engines::attempt_id attempt = attempt_of(held.id);
-    rpc::grant_record record;
-    record.request = attempt.request;
-    record.attempt = attempt.number;
-    record.grant = held.issued.number;
-    record.holder = held.issued.owner;
-    record.service = held.service;
-    record.work_rank = held.rank;
-    record.prefill_backend = held.issued.prefill;
-    record.decode_backend = held.issued.decode;
-    record.expected_output_tokens = held.expected_output_tokens;
-    record.kv_pieces = held.issued.pieces;
-    record.between_tokens_target = duration_cast<microseconds>(held.between_tokens);
-    record.age = duration_cast<milliseconds>(now - held.granted_at);
-    return record;
-}
-
-scheduling::live_grant to_live(const daemon_id& owner, const rpc::grant_record& record,
-                               time_point now) {
-    scheduling::live_grant held;
-    held.id = cell_name(record.request, record.attempt);
-    held.issued.number = record.grant;
-    held.issued.request = held.id;
-    held.issued.owner = owner;
-    held.issued.prefill = record.prefill_backend;
-    held.issued.decode = record.decode_backend;
-    held.issued.pieces = record.kv_pieces;
-    held.service = record.service;
-    held.rank = record.work_rank;
-    held.stage = record.stage == rpc::grant_stage::decoding ? scheduling::stage::decode
-                                                            : scheduling::stage::prefill;
-    held.granted_at = now - record.age;
-    held.decode_began = now;
-    held.heard_at = now;
-    held.between_tokens = record.between_tokens_target;
-    held.expected_output_tokens = record.expected_output_tokens;
-    return held;
-}
-
 /// Leaving holds for good; a cut connection or an operator's drain may end.
 void hold_back_if_needed(scheduling::cell_state& state, const backend_row& server) {
     if (has_left(server)) {
@@ -125,10 +35,6 @@
     });
 }
 
-bool is_live(const std::vector<daemon_id>& live, const daemon_id& daemon) {
-    return std::find(live.begin(), live.end(), daemon) != live.end();
-}
-
 } // namespace
 
 cell_host::cell_host(const clock& time, scheduling::cell_policy policy,
@@ -218,7 +124,9 @@
             builder.id(plan.id).model(plan.model);
             cells_[plan.id].state = builder.build(now);
             scheduling::begin_home(cells_[plan.id].state, peers, now);
-            cancel_copied(plan.id, peers);
+            for (const scheduling::grant& orphan : copied_.take_orphans(plan.id, peers)) {
+                cancel_at_engines(orphan);
+            }
             for (const daemon_id& peer : peers) {
                 outbox_.push_back({peer, rpc::request_registration{plan.id}});
             }
@@ -235,24 +143,6 @@
     flush(std::move(messages));
 }
 
-void cell_host::cancel_copied(const cell_id& cell, const std::vector<daemon_id>& live) {
-    const auto copied = copied_.find(cell);
-    if (copied == copied_.end()) {
-        return;
-    }
-    for (const auto& [name, record] : copied->second) {
-        if (is_live(live, record.holder)) {
-            continue;
-        }
-        scheduling::grant orphaned;
-        orphaned.request = name;
-        orphaned.prefill = record.prefill_backend;
-        orphaned.decode = record.decode_backend;
-        cancel_at_engines(orphaned);
-    }
-    copied_.erase(copied);
-}
-
 void cell_host::keep_only(const std::set<cell_id>& kept) {
     std::vector<outgoing> messages;
     {
@@ -314,7 +204,8 @@
         return send_grant(asked.cell, held->issued);
     }
     const time_point now = time_.now();
-    const auto queued = scheduling::submit(cell->state, policy_, to_spec(from, asked, now), now);
+    const auto queued =
+        scheduling::submit(cell->state, policy_, internal::to_spec(from, asked, now), now);
     if (!queued && queued.error() != scheduling::errc::duplicate_request) {
         refuse(from, asked, internal::to_reason(queued.error()));
     }
@@ -380,17 +271,7 @@
 
 void cell_host::on(const daemon_id& from, const rpc::copy_grants& copied) {
     static_cast<void>(from);
-    // A lost copy leaves at most a period's grants unknown here; cancelling an ended one is safe.
-    auto& records = copied_[copied.cell];
-    if (copied.is_whole) {
-        records.clear();
-    }
-    for (const request_id& ended : copied.removed) {
-        records.erase(ended);
-    }
-    for (const rpc::grant_record& record : copied.added) {
-        records.insert_or_assign(cell_name(record.request, record.attempt), record);
-    }
+    copied_.take(copied);
 }
 
 void cell_host::renew(const std::vector<daemon_id>& live) {
@@ -463,7 +344,7 @@
             if (successor == successors.end()) {
                 continue;
             }
-            if (auto copied = changes_of(cell, successor->second, now)) {
+            if (auto copied = next_copy(cell.copies, cell.state, successor->second, now)) {
                 outbox_.push_back({successor->second, std::move(*copied)});
             }
         }
@@ -472,43 +353,14 @@
     flush(std::move(messages));
 }
 
-std::optional<rpc::copy_grants> cell_host::changes_of(hosted_cell& cell, const daemon_id& successor,
-                                                      time_point now) {
-    const bool is_whole =
-        successor != cell.successor || now - cell.whole_copy_at > whole_copy_period;
-    std::set<request_id> present;
-    rpc::copy_grants copied;
-    for (const scheduling::live_grant& held : cell.state.grants.rows()) {
-        present.insert(held.id);
-        if (is_whole || cell.copied.count(held.id) == 0) {
-            copied.added.push_back(to_record(held, now));
-        }
-    }
-    for (const request_id& former : cell.copied) {
-        if (!is_whole && present.count(former) == 0) {
-            copied.removed.push_back(former);
-        }
-    }
-    cell.copied = std::move(present);
-    cell.successor = successor;
-    if (!is_whole && copied.added.empty() && copied.removed.empty()) {
-        return std::nullopt;
-    }
-    cell.whole_copy_at = is_whole ? now : cell.whole_copy_at;
-    copied.cell = cell.plan.id;
-    copied.sequence = ++cell.copies;
-    copied.is_whole = is_whole;
-    return copied;
-}
-
 void cell_host::copy_new_grants(hosted_cell& cell, const scheduling::tick_output& decided,
                                 time_point now) {
     // Sent ahead of the grants, so that a home that freezes right after them leaves a trace.
-    if (decided.grants.empty() || cell.successor.empty()) {
+    if (decided.grants.empty() || cell.copies.successor.empty()) {
         return;
     }
-    const daemon_id successor = cell.successor;
-    if (auto copied = changes_of(cell, successor, now)) {
+    const daemon_id successor = cell.copies.successor;
+    if (auto copied = next_copy(cell.copies, cell.state, successor, now)) {
         outbox_.push_back({successor, std::move(*copied)});
     }
 }
--- a/src/serving/cell_host.hpp
+++ b/src/serving/cell_host.hpp
@@ -9,11 +9,12 @@
 #include "src/scheduling/grant.hpp"
 #include "src/serving/backend_directory.hpp"
 #include "src/serving/cell_layout.hpp"
+#include "src/serving/copied_grants.hpp"
+#include "src/serving/grant_copy.hpp"
 
 #include <functional>
 #include <map>
 #include <mutex>
-#include <optional>
 #include <set>
 #include <vector>
 
@@ -80,10 +81,7 @@
     struct hosted_cell {
         cell_plan plan;
         scheduling::cell_state state;
-        std::uint64_t copies = 0;
-        daemon_id successor;         ///< whom the last copy went to
-        std::set<request_id> copied; ///< the grants that it holds
-        time_point whole_copy_at;
+        copy_progress copies;
     };
     /// A message that is sent once the lock is released.
     struct outgoing {
@@ -106,9 +104,6 @@
     void refuse(const daemon_id& to, const rpc::acquire& asked, rpc::refusal_reason reason);
     void send_grant(const cell_id& cell, const scheduling::grant& issued);
     void cancel_at_engines(const scheduling::grant& released);
-    void cancel_copied(const cell_id& cell, const std::vector<daemon_id>& live);
-    [[nodiscard]] static std::optional<rpc::copy_grants>
-    changes_of(hosted_cell& cell, const daemon_id& successor, time_point now);
     void copy_new_grants(hosted_cell& cell, const scheduling::tick_output& decided, time_point now);
     void flush(std::vector<outgoing> messages);
     [[nodiscard]] std::vector<outgoing> take_outbox();
@@ -120,8 +115,7 @@
     sender send_;
     mutable std::mutex mutex_;
     std::map<cell_id, hosted_cell> cells_;
-    /// Grants copied here by the homes that this daemon would follow.
-    std::map<cell_id, std::map<request_id, rpc::grant_record>> copied_;
+    copied_grants copied_;
     std::vector<outgoing> outbox_;
 };
 
--- a/src/serving/daemon.cpp
+++ b/src/serving/daemon.cpp
@@ -9,6 +9,7 @@
 #include "src/platform/guarded_store.hpp"
 #include "src/scheduling/cell_home.hpp"
 #include "src/serving/constants.hpp"
+#include "src/serving/internal/checked_places.hpp"
 
 #include <glog/logging.h>
 
@@ -16,6 +17,7 @@
 
 namespace {
 
+using internal::to_places;
 using std::chrono::milliseconds;
 
 constexpr milliseconds refresh_period{100};
@@ -54,16 +56,6 @@
     return scheduling::weighted_policy(weights, base);
 }
 
-std::vector<http::endpoint> to_places(const std::vector<std::string>& texts) {
-    std::vector<http::endpoint> places;
-    for (const std::string& text : texts) {
-        const auto place = http::parse_endpoint(text);
-        CICADAHATCH_ASSERT(place.has_value(), endpoints_of_settings_are_checked);
-        places.push_back(*place);
-    }
-    return places;
-}
-
 std::unique_ptr<platform::store> make_store(const settings::daemon_settings& configured) {
     platform::etcd_store_builder builder;
     for (const http::endpoint& place : to_places(configured.platform_endpoints)) {
--- /dev/null
+++ b/src/serving/internal/cell_messages.cpp
@@ -0,0 +1,98 @@
+#include "src/serving/internal/cell_messages.hpp"
+
+#include "src/serving/internal/wire_names.hpp"
+
+namespace cicadahatch::serving::internal {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+scheduling::request_spec to_spec(const daemon_id& owner, const rpc::acquire& asked,
+                                 time_point now) {
+    scheduling::request_spec spec;
+    spec.id = cell_name(asked.request, asked.attempt);
+    spec.owner = owner;
+    spec.service = asked.service;
+    spec.model = asked.model;
+    spec.team = asked.team;
+    spec.rank = asked.work_rank;
+    spec.prompt_tokens = asked.prompt_tokens + asked.generated_tokens;
+    spec.expected_output_tokens = asked.expected_output_tokens;
+    spec.prefix_hashes = asked.prefix_hashes;
+    spec.arrived = now - asked.waited;
+    spec.first_token = asked.first_token_target;
+    spec.between_tokens = asked.between_tokens_target;
+    if (asked.gives_up_after.count() > 0) {
+        spec.deadline = now + asked.gives_up_after;
+    }
+    return spec;
+}
+
+rpc::granted to_granted(const cell_id& cell, const scheduling::grant& issued) {
+    const engines::attempt_id attempt = attempt_of(issued.request);
+    rpc::granted told;
+    told.request = attempt.request;
+    told.attempt = attempt.number;
+    told.cell = cell;
+    told.grant = issued.number;
+    told.prefill_backend = issued.prefill;
+    told.decode_backend = issued.decode;
+    told.expected_cached_tokens = issued.expected_cached_tokens;
+    told.kv_pieces = issued.pieces;
+    told.predicted_first_token = duration_cast<microseconds>(issued.predicted_first_token);
+    return told;
+}
+
+rpc::refused to_refused(const cell_id& cell, const scheduling::refusal& refusal) {
+    const engines::attempt_id attempt = attempt_of(refusal.request);
+    rpc::refused told;
+    told.request = attempt.request;
+    told.attempt = attempt.number;
+    told.cell = cell;
+    told.reason = to_reason(refusal.reason);
+    told.retry_after = duration_cast<milliseconds>(refusal.retry_after);
+    return told;
+}
+
+rpc::grant_record to_record(const scheduling::live_grant& held, time_point now) {
+    const engines::attempt_id attempt = attempt_of(held.id);
+    rpc::grant_record record;
+    record.request = attempt.request;
+    record.attempt = attempt.number;
+    record.grant = held.issued.number;
+    record.holder = held.issued.owner;
+    record.service = held.service;
+    record.work_rank = held.rank;
+    record.prefill_backend = held.issued.prefill;
+    record.decode_backend = held.issued.decode;
+    record.expected_output_tokens = held.expected_output_tokens;
+    record.kv_pieces = held.issued.pieces;
+    record.between_tokens_target = duration_cast<microseconds>(held.between_tokens);
+    record.age = duration_cast<milliseconds>(now - held.granted_at);
+    return record;
+}
+
+scheduling::live_grant to_live(const daemon_id& owner, const rpc::grant_record& record,
+                               time_point now) {
+    scheduling::live_grant held;
+    held.id = cell_name(record.request, record.attempt);
+    held.issued.number = record.grant;
+    held.issued.request = held.id;
+    held.issued.owner = owner;
+    held.issued.prefill = record.prefill_backend;
+    held.issued.decode = record.decode_backend;
+    held.issued.pieces = record.kv_pieces;
+    held.service = record.service;
+    held.rank = record.work_rank;
+    held.stage = record.stage == rpc::grant_stage::decoding ? scheduling::stage::decode
+                                                            : scheduling::stage::prefill;
+    held.granted_at = now - record.age;
+    held.decode_began = now;
+    held.heard_at = now;
+    held.between_tokens = record.between_tokens_target;
+    held.expected_output_tokens = record.expected_output_tokens;
+    return held;
+}
+
+} // namespace cicadahatch::serving::internal
--- a/src/serving/membership_network.cpp
+++ b/src/serving/membership_network.cpp
@@ -1,25 +1,11 @@
 #include "src/serving/membership_network.hpp"
 
-#include "src/http/endpoint.hpp"
+#include "src/serving/internal/checked_places.hpp"
 
 #include <glog/logging.h>
 
 namespace cicadahatch::serving {
 
-namespace {
-
-std::vector<http::endpoint> to_places(const std::vector<std::string>& texts) {
-    std::vector<http::endpoint> places;
-    for (const std::string& text : texts) {
-        if (const auto place = http::parse_endpoint(text)) {
-            places.push_back(*place);
-        }
-    }
-    return places;
-}
-
-} // namespace
-
 membership_network::membership_network(daemon_id self, network_events events)
     : self_(std::move(self)), events_(std::move(events)),
       inbox_(std::make_unique<inbox>([this](const rpc::delivery& received) { handle(received); })) {
@@ -38,7 +24,7 @@
         .secret(configured.peer_secret)
         .threads(peers.threads)
         .tls({peers.tls_certificate, peers.tls_peer_ca}, {peers.tls_certificate, peers.tls_peer_ca})
-        .seeds(to_places(configured.seed_peers))
+        .seeds(internal::to_places(configured.seed_peers))
         .timed_by(time)
         .on_event([this](const membership::member_event& event) { note(event); })
         .on_payload([this](const rpc::payload& value) {
--- a/test/platform/etcd_store_process_test.cpp
+++ b/test/platform/etcd_store_process_test.cpp
@@ -1,6 +1,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "cicadahatch/platform"
-#include "test/support/child_program.hpp"
+#include "test/support/paths.hpp"
+#include "test/support/process.hpp"
 
 #include <csignal>
 #include <doctest/doctest.h>
@@ -13,8 +14,13 @@
 using nlohmann::json;
 using platform::errc;
 
+test_support::process start_platform() {
+    return test_support::process{
+        {test_support::binary_dir() + "/test/fake_platform", "--listen", "127.0.0.1:0"}};
+}
+
 struct platform_fixture {
-    test_support::child_program fake{"test/fake_platform"};
+    test_support::process fake = start_platform();
     std::unique_ptr<platform::etcd_store> store =
         platform::etcd_store_builder{}.add_endpoint(fake.place()).timeout(500ms).build();
 
@@ -127,10 +133,10 @@
 
 TEST_CASE_FIXTURE(platform_fixture, "etcd_store, frozen server, write is unknown and read fails") {
     REQUIRE(store->get("a"));
-    fake.signal(SIGSTOP);
+    fake.send_signal(SIGSTOP);
     CHECK(store->swap("a", {}, "1", {}).error() == errc::outcome_unknown);
     CHECK(store->get("a").error() == errc::unavailable);
-    fake.signal(SIGCONT);
+    fake.send_signal(SIGCONT);
 }
 
 TEST_CASE_FIXTURE(platform_fixture,
@@ -145,7 +151,7 @@
 TEST_CASE_FIXTURE(platform_fixture, "etcd_store, first endpoint dead, the next one serves") {
     http::endpoint dead;
     {
-        const test_support::child_program gone{"test/fake_platform"};
+        const test_support::process gone = start_platform();
         dead = gone.place();
     }
     const auto both =
