Issue orders to engines from the home of each cell

Cause: the issuer, reconcile and the tenure were proved but nothing called them, so no engine got a model, adapter, version or role.

Change: - engines::send_order and orders::http_order_sender: a fresh connection, a look at the clock, one write, never again, typed errors. Load answers tell models with versions and adapters. - serving::order_driver on a thread of its own: what is due comes from the services in force and the engines' latest loads; the cell's lease is taken once an order is due and given up after an idle time, at a graceful shutdown and when the home is lost. Each order waits for its engine on its own thread, because an order may take longer than the lease and renewal must go on. So the issuer now admits an order and takes in its outcome (admit, note_outcome) in place of sending it itself (issue). issuer_test keeps every check; its fixture does the sending. - A version that is not stated matches any; before, each engine that reports a version would have been ordered to load one without a name. An engine shared by services ignores numbers if one of them says so. - Role changes: `allows_role_change` in the service file; the home drives scheduling::wanted_role_change(). A new home, and a role seen to change, start the spacing. Every cell uses its engines in the reported role; the layout follows the configured roles, which all daemons know. - Settings `orders.*`: weight store's rate, lease, idle time, longest order, idle connection, hysteresis of role changes.

Ruled out: renewing a lease for all cells for ever (24 writes a second at 119 cells, by arithmetic in design/configuration.md); one bucket of loads in the store (a write a load on one key).

Conclusion: orders are live.

--- a/src/engines/calls.cpp
+++ b/src/engines/calls.cpp
@@ -21,10 +21,25 @@
     }
 }
 
-std::vector<model_id> models_of(const json& content) {
-    std::vector<model_id> models;
-    for (const std::string& name : field(content, "models", std::vector<std::string>{})) {
-        models.emplace_back(name);
+loaded_model to_model(const json& content) {
+    if (content.is_string()) {
+        return {model_id{content.get<std::string>()}, {}, {}};
+    }
+    loaded_model model;
+    model.id = model_id{field(content, "name", std::string{})};
+    model.version = field(content, "version", std::string{});
+    model.adapters = field(content, "adapters", std::vector<std::string>{});
+    return model;
+}
+
+std::optional<std::vector<loaded_model>> models_of(const json& content) {
+    const auto listed = content.find("models");
+    if (listed == content.end() || !listed->is_array()) {
+        return std::nullopt;
+    }
+    std::vector<loaded_model> models;
+    for (const json& one : *listed) {
+        models.push_back(to_model(one));
     }
     return models;
 }
--- a/src/engines/error.cpp
+++ b/src/engines/error.cpp
@@ -31,6 +31,8 @@
             return "malformed answer";
         case errc::stale_fencing:
             return "stale fencing number";
+        case errc::too_late:
+            return "time allowed for sending has passed";
         }
         return "unknown";
     }
@@ -49,7 +51,7 @@
 
 bool is_surely_not_run(const std::error_code& error) noexcept {
     return error == errc::not_reached || error == errc::refused || error == errc::leaving ||
-           error == errc::stale_fencing;
+           error == errc::stale_fencing || error == errc::too_late;
 }
 
 } // namespace cicadahatch::engines
--- a/src/engines/error.hpp
+++ b/src/engines/error.hpp
@@ -15,7 +15,8 @@
     stream_broken,   ///< the token stream ended before its end mark
     bad_frame,       ///< a frame could not be understood
     bad_answer,      ///< an answer could not be understood
-    stale_fencing    ///< the server has seen a higher fencing number
+    stale_fencing,   ///< the server has seen a higher fencing number
+    too_late         ///< the time allowed for sending has passed; nothing was sent
 };
 
 [[nodiscard]] const std::error_category& engines_category() noexcept;
--- a/src/engines/internal/requests.cpp
+++ b/src/engines/internal/requests.cpp
@@ -25,6 +25,18 @@
     return sent;
 }
 
+const char* name_of(order_kind kind) {
+    switch (kind) {
+    case order_kind::load_model:
+        return "load_model";
+    case order_kind::load_adapter:
+        return "load_adapter";
+    case order_kind::set_role:
+        return "set_role";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 http::request to_http(const prefill_request& asked) {
@@ -46,6 +58,20 @@
     return post("/v1/decode", content);
 }
 
+http::request to_http(const order_request& asked) {
+    json content{{"kind", name_of(asked.kind)}, {"fencing", asked.fencing.value()}};
+    if (asked.kind == order_kind::set_role) {
+        content["role"] = asked.role == backend_role::prefill ? "prefill" : "decode";
+        return post("/v1/orders", content);
+    }
+    content["model"] = asked.model.str();
+    content["version"] = asked.version;
+    if (asked.kind == order_kind::load_adapter) {
+        content["adapter"] = asked.adapter;
+    }
+    return post("/v1/orders", content);
+}
+
 http::request to_cancel(const attempt_id& attempt) {
     return post("/v1/cancel", base(attempt));
 }
--- a/src/engines/messages.hpp
+++ b/src/engines/messages.hpp
@@ -4,6 +4,7 @@
 #include "src/http/endpoint.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,26 @@
     bool is_end = false;
 };
 
+/// \brief What an order makes an engine do.
+enum class order_kind : std::uint8_t { load_model, load_adapter, set_role };
+
+/// \brief An order to an engine.
+struct order_request {
+    order_kind kind = order_kind::load_model;
+    model_id model;
+    std::string version;
+    std::string adapter;                      ///< for load_adapter
+    backend_role role = backend_role::decode; ///< for set_role
+    fencing_number fencing;
+};
+
+/// \brief A model that an engine holds.
+struct loaded_model {
+    model_id id;
+    std::string version;
+    std::vector<std::string> adapters;
+};
+
 /// \brief What a backend server tells about itself.
 struct load_report {
     incarnation started;
@@ -62,7 +83,7 @@
     std::uint32_t tokens_per_piece = 0;
     double prefill_tokens_per_second = 0;
     std::uint64_t cache_sequence = 0;
-    std::vector<model_id> models;
+    std::optional<std::vector<loaded_model>> models; ///< absent: the server does not tell
 };
 
 } // namespace cicadahatch::engines
--- /dev/null
+++ b/src/engines/order_call.cpp
@@ -0,0 +1,27 @@
+#include "src/engines/order_call.hpp"
+
+#include "src/engines/error.hpp"
+#include "src/engines/internal/answers.hpp"
+#include "src/engines/internal/requests.hpp"
+#include "src/http/client.hpp"
+
+namespace cicadahatch::engines {
+
+result<void> send_order(const http::endpoint& place, const order_request& asked, const clock& time,
+                        time_point not_after, std::chrono::milliseconds timeout) {
+    const http::request prepared = internal::to_http(asked);
+    auto connection = http::client_connection::open(place);
+    if (!connection) {
+        return failure(errc::not_reached);
+    }
+    if (time.now() > not_after) {
+        return failure(errc::too_late);
+    }
+    const auto content = internal::object_of(connection->call(prepared, timeout));
+    if (!content) {
+        return tl::unexpected(content.error());
+    }
+    return {};
+}
+
+} // namespace cicadahatch::engines
--- a/src/orders/forward_declarations.hpp
+++ b/src/orders/forward_declarations.hpp
@@ -2,12 +2,14 @@
 
 namespace cicadahatch::orders {
 
+class http_order_sender;
 class issuer;
 class order_sender;
 struct desired_engine;
 struct issuer_limits;
 struct observed_engine;
 struct order;
+struct order_permit;
 struct tenure;
 
 } // namespace cicadahatch::orders
--- a/src/orders/issuer.cpp
+++ b/src/orders/issuer.cpp
@@ -77,24 +77,26 @@
     return due.kind == order_kind::set_role || platform::try_take(loads_, time_.now());
 }
 
-std::size_t issuer::issue(const std::vector<order>& due, order_sender& sender) {
-    std::size_t carried_out = 0;
-    for (const order& next : due) {
-        if (!held_ || !may_send(*held_, limits_, next.checks_fencing, time_.now())) {
-            continue;
-        }
-        if (!try_reserve(next)) {
-            continue;
-        }
-        const auto sent = sender.send(next, held_->number, send_limit(*held_, limits_));
-        if (sent) {
-            ++carried_out;
-        } else if (sent.error() == errc::stale_fencing) {
-            LOG(WARNING) << "orders: another daemon issues for " << key_;
-            held_.reset();
-        }
+void issuer::set_loads_per_minute(double rate) {
+    platform::refill(loads_, time_.now());
+    loads_.per_second = rate / seconds_per_minute;
+}
+
+std::optional<order_permit> issuer::admit(const order& due) {
+    if (!held_ || !may_send(*held_, limits_, due.checks_fencing, time_.now())) {
+        return std::nullopt;
+    }
+    if (!try_reserve(due)) {
+        return std::nullopt;
+    }
+    return order_permit{held_->number, send_limit(*held_, limits_)};
+}
+
+void issuer::note_outcome(const order_permit& used, const std::error_code& outcome) {
+    if (outcome == errc::stale_fencing && held_ && held_->number == used.number) {
+        LOG(WARNING) << "orders: another daemon issues for " << key_;
+        held_.reset();
     }
-    return carried_out;
 }
 
 void issuer::release() {
--- a/src/orders/issuer.hpp
+++ b/src/orders/issuer.hpp
@@ -1,16 +1,22 @@
 #pragma once
 
-#include "src/orders/order_sender.hpp"
+#include "src/orders/order.hpp"
 #include "src/orders/tenure.hpp"
 #include "src/platform/store.hpp"
 #include "src/platform/token_bucket.hpp"
 
 #include <optional>
 #include <string>
-#include <vector>
+#include <system_error>
 
 namespace cicadahatch::orders {
 
+/// \brief Leave to send one order.
+struct order_permit {
+    fencing_number number;
+    time_point not_after; ///< the order must not be written later than this
+};
+
 /// \brief Issues the orders of one cell while it holds the cell's lease. Used by one thread.
 class issuer {
 public:
@@ -27,10 +33,18 @@
     /// \returns the store's error, after which the caller pauses
     std::error_code tick();
 
-    /// \brief Sends the orders that may be sent now, one after the other. The clock is read before
-    /// each one; loads beyond the weight store's rate stay for a later call.
-    /// \returns how many orders were carried out
-    std::size_t issue(const std::vector<order>& due, order_sender& sender);
+    /// \brief Sets this cell's part of the weight store's rate.
+    void set_loads_per_minute(double rate);
+
+    /// \brief Asks for leave to send an order now, which takes its part of the weight store's rate.
+    /// \returns nothing while no tenure is held, its time left is too short, engines that ignore
+    /// fencing numbers may still be carrying out an order of the issuer before, or the rate is
+    /// spent
+    [[nodiscard]] std::optional<order_permit> admit(const order& due);
+
+    /// \brief Takes in what became of an admitted order. An engine that has seen a higher number
+    /// shows that another daemon issues; the tenure of that number ends.
+    void note_outcome(const order_permit& used, const std::error_code& outcome);
 
     /// \brief Gives the cell up at once, as in a graceful shutdown.
     void release();
--- a/src/orders/order.hpp
+++ b/src/orders/order.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "src/core/identifiers.hpp"
+#include "src/engines/messages.hpp"
 
-#include <cstdint>
 #include <string>
 
 namespace cicadahatch::orders {
 
-enum class order_kind : std::uint8_t { load_model, load_adapter, set_role };
+using engines::order_kind;
 
 /// \brief One order to an engine. Carrying it out twice has the effect of once.
 struct order {
--- a/src/orders/reconcile.cpp
+++ b/src/orders/reconcile.cpp
@@ -24,8 +24,13 @@
     return std::find(seen.adapters.begin(), seen.adapters.end(), adapter) != seen.adapters.end();
 }
 
+bool holds_model(const desired_engine& wanted, const observed_engine& seen) {
+    const bool is_any_version = wanted.version.empty();
+    return wanted.model == seen.model && (is_any_version || wanted.version == seen.version);
+}
+
 std::optional<order> next_order(const desired_engine& wanted, const observed_engine& seen) {
-    if (wanted.model != seen.model || wanted.version != seen.version) {
+    if (!holds_model(wanted, seen)) {
         return prepare(wanted, order_kind::load_model);
     }
     if (wanted.role != seen.role) {
@@ -61,8 +66,10 @@
             if (is_new) {
                 engines.push_back(engine_of(described, server));
             }
+            desired_engine& wanted = engines[place->second];
+            wanted.checks_fencing = wanted.checks_fencing && described.checks_fencing;
             if (!described.adapter.empty()) {
-                engines[place->second].adapters.push_back(described.adapter);
+                wanted.adapters.push_back(described.adapter);
             }
         }
     }
--- a/src/orders/reconcile.hpp
+++ b/src/orders/reconcile.hpp
@@ -13,7 +13,7 @@
     std::string address;
     backend_role role = backend_role::decode;
     model_id model;
-    std::string version;
+    std::string version; ///< empty: any
     std::vector<std::string> adapters;
     bool checks_fencing = true;
 };
@@ -29,7 +29,7 @@
 };
 
 /// \returns the engines of the model services, in the services' order; an engine shared by several
-/// services holds the adapters of all of them
+/// services holds the adapters of all of them, and ignores fencing numbers if one of them says so
 [[nodiscard]] std::vector<desired_engine>
 desired_engines(const std::vector<settings::service>& services);
 
--- a/src/serving/admin_handler.cpp
+++ b/src/serving/admin_handler.cpp
@@ -41,7 +41,7 @@
 json to_json(const backend_row& server) {
     return {{"backend", server.id.str()},
             {"address", to_string(server.place)},
-            {"role", name_of(server.role)},
+            {"role", name_of(present_role(server))},
             {"domain", server.domain.str()},
             {"service", server.service.str()},
             {"takes_work", takes_work(server)},
--- a/src/serving/backend_directory.cpp
+++ b/src/serving/backend_directory.cpp
@@ -71,6 +71,16 @@
     return !server.left.empty() && server.left == server.started;
 }
 
+backend_role present_role(const backend_row& server) {
+    if (server.role != backend_role::plain && server.load.role == "prefill") {
+        return backend_role::prefill;
+    }
+    if (server.role != backend_role::plain && server.load.role == "decode") {
+        return backend_role::decode;
+    }
+    return server.role;
+}
+
 bool takes_work(const backend_row& server) {
     return !has_left(server) && !server.is_drained && server.is_reachable;
 }
--- a/src/serving/backend_directory.hpp
+++ b/src/serving/backend_directory.hpp
@@ -21,7 +21,7 @@
 struct backend_row {
     backend_id id;
     http::endpoint place;
-    backend_role role = backend_role::plain;
+    backend_role role = backend_role::plain; ///< as configured; see present_role()
     domain_id domain;
     service_id service;
     model_id model;
@@ -37,6 +37,9 @@
 /// \returns whether the running incarnation of the backend server is leaving or has left
 [[nodiscard]] bool has_left(const backend_row& server);
 
+/// \returns the role that an engine reports; until it reports one, the configured role
+[[nodiscard]] backend_role present_role(const backend_row& server);
+
 /// \returns whether new work may go to the backend server
 [[nodiscard]] bool takes_work(const backend_row& server);
 
--- a/src/serving/cell_host.cpp
+++ b/src/serving/cell_host.cpp
@@ -158,6 +158,15 @@
     return cells_.count(cell) != 0;
 }
 
+std::vector<order_cell> cell_host::order_cells() const {
+    const std::lock_guard lock{mutex_};
+    std::vector<order_cell> listed;
+    for (const auto& [id, cell] : cells_) {
+        listed.push_back({cell.plan, measure_use(cell.state, policy_)});
+    }
+    return listed;
+}
+
 std::set<backend_id> cell_host::engines() const {
     const std::lock_guard lock{mutex_};
     std::set<backend_id> listed;
--- a/src/serving/cell_host.hpp
+++ b/src/serving/cell_host.hpp
@@ -9,6 +9,7 @@
 #include "src/scheduling/grant.hpp"
 #include "src/serving/backend_directory.hpp"
 #include "src/serving/cell_layout.hpp"
+#include "src/serving/order_cell.hpp"
 
 #include <functional>
 #include <map>
@@ -44,6 +45,8 @@
 
     [[nodiscard]] std::vector<cell_status> status() const;
     [[nodiscard]] bool is_hosting(const cell_id& cell) const;
+    /// \returns what the orders to the engines of each cell depend on
+    [[nodiscard]] std::vector<order_cell> order_cells() const;
     /// \returns the engines of all cells
     [[nodiscard]] std::set<backend_id> engines() const;
     [[nodiscard]] std::vector<scheduling::cell_digest> digests() const;
--- a/src/serving/daemon.cpp
+++ b/src/serving/daemon.cpp
@@ -26,6 +26,7 @@
 constexpr milliseconds watch_pause{200};
 constexpr milliseconds tend_period{2000};
 constexpr std::size_t tend_limit = 64;
+constexpr milliseconds order_period{200};
 constexpr milliseconds vm_list_period{1000};
 constexpr milliseconds shutdown_look_period{20};
 
@@ -116,7 +117,8 @@
       store_(std::make_unique<platform::guarded_store>(*etcd_, time, budget_of_daemon(),
                                                        platform::circuit_limits{},
                                                        stable_hash(configured_.name.str()))),
-      cancels_(time), recorder_(time), naming_(configured_.name, started_) {}
+      cancels_(time), recorder_(time), naming_(configured_.name, started_),
+      order_sender_(time, configured_.orders.longest_order) {}
 
 daemon::~daemon() {
     {
@@ -142,6 +144,8 @@
     broker_ = std::make_unique<grant_broker>(time_, policy_of(configured_), directory_, cancels_,
                                              *network_, configured_.domain,
                                              configured_.max_engines_per_cell);
+    orders_ = std::make_unique<order_driver>(*store_, time_, configured_.name, configured_.orders,
+                                             order_sender_);
     attempts_ = std::make_unique<attempt_runner>(cancels_);
     claims_ = claims::claim_book_builder{*store_, time_}.owner(configured_.name).build();
     context_ = std::make_unique<serving_context>(serving_context{time_, configured_, directory_,
@@ -264,6 +268,7 @@
     threads_.emplace_back([this] { follow_configuration(); });
     threads_.emplace_back([this] { exchange_configuration(); });
     threads_.emplace_back([this] { drive_cells(); });
+    threads_.emplace_back([this] { drive_orders(); });
     threads_.emplace_back([this] { tend_claims(); });
     threads_.emplace_back([this] { follow_vm_list(); });
 }
@@ -348,6 +353,15 @@
     }
 }
 
+void daemon::drive_orders() {
+    while (!is_stopping_) {
+        if (const auto services = directory_.services()) {
+            orders_->tick(broker_->host().order_cells(), *services, broker_->cells());
+        }
+        wait(order_period);
+    }
+}
+
 void daemon::spread_digests() {
     ++digest_round_;
     const auto version = next_incarnation(time_).value();
@@ -402,6 +416,7 @@
     LOG(INFO) << "serving: shutting down";
     drain_.begin();
     network_->gossip().announce_leaving();
+    orders_->stop();
     const time_point ends = time_.now() + configured_.shutdown_bound;
     while (callers_->active() > 0 || cancels_.pending() > 0) {
         if (time_.now() >= ends) {
--- a/src/serving/daemon.hpp
+++ b/src/serving/daemon.hpp
@@ -5,6 +5,7 @@
 #include "src/core/result.hpp"
 #include "src/http/server.hpp"
 #include "src/metrics/registry.hpp"
+#include "src/orders/http_order_sender.hpp"
 #include "src/platform/store.hpp"
 #include "src/platform/vm_list.hpp"
 #include "src/serving/admin_handler.hpp"
@@ -12,6 +13,7 @@
 #include "src/serving/configuration_exchange.hpp"
 #include "src/serving/load_poller.hpp"
 #include "src/serving/membership_network.hpp"
+#include "src/serving/order_driver.hpp"
 #include "src/serving/plain_handler.hpp"
 #include "src/serving/serving_context.hpp"
 
@@ -61,6 +63,7 @@
     void follow_configuration();
     void exchange_configuration();
     void drive_cells();
+    void drive_orders();
     void spread_digests();
     void tend_claims();
     void follow_vm_list();
@@ -87,6 +90,8 @@
     std::unique_ptr<membership_network> network_;
     std::unique_ptr<configuration_exchange> exchange_;
     std::unique_ptr<grant_broker> broker_;
+    orders::http_order_sender order_sender_;
+    std::unique_ptr<order_driver> orders_;
     std::unique_ptr<attempt_runner> attempts_;
     std::unique_ptr<serving_context> context_;
     std::unique_ptr<plain_handler> plain_;
--- a/src/serving/forward_declarations.hpp
+++ b/src/serving/forward_declarations.hpp
@@ -8,6 +8,7 @@
 class backend_directory;
 class event_queue;
 class grant_broker;
+class order_driver;
 class worker_group;
 struct problem;
 
--- a/src/serving/internal/engine_specs.cpp
+++ b/src/serving/internal/engine_specs.cpp
@@ -24,14 +24,14 @@
     const engines::load_report& load = server.load;
     scheduling::engine_spec spec;
     spec.id = server.id;
-    spec.role = server.role;
+    spec.role = present_role(server);
     spec.started = server.started;
     spec.slots = or_default(load.slots, default_slots);
     spec.pieces = load.kv_pieces_total;
     spec.piece_tokens = or_default(load.tokens_per_piece, default_piece_tokens);
     spec.step_base = assumed_step;
     spec.step_per_stream = assumed_step_per_stream;
-    if (server.role == backend_role::prefill) {
+    if (spec.role == backend_role::prefill) {
         const double reported = load.prefill_tokens_per_second;
         spec.prefill_tokens_per_second = reported > 0 ? reported : default_prefill_rate;
     }
--- a/src/settings/daemon_settings.hpp
+++ b/src/settings/daemon_settings.hpp
@@ -27,6 +27,17 @@
     double rest_in_flood = 1.0;
 };
 
+/// \brief Rates and times of the orders to engines. All daemons use the same.
+struct order_rules {
+    double loads_per_minute = 60.0;            ///< what the weight store takes from all cells
+    std::chrono::seconds lease{15};            ///< of the daemon that issues a cell's orders
+    std::chrono::seconds lease_idle{60};       ///< without orders, after which it is given up
+    std::chrono::seconds longest_order{120};   ///< from its arrival until it is carried out
+    std::chrono::seconds connection_idle{10};  ///< after which engines close a silent connection
+    std::chrono::seconds pressure_settled{30}; ///< for which a pool is pressed before it grows
+    std::chrono::seconds role_change_spacing{120}; ///< between two changes of role in a cell
+};
+
 /// \brief Settings of one daemon.
 struct daemon_settings {
     daemon_id name;
@@ -46,6 +57,7 @@
     std::chrono::milliseconds kv_retention{800};      ///< how long an engine keeps a prefill
     std::uint32_t max_engines_per_cell = 32;
     policy_weights weights;
+    order_rules orders;
     std::string log_directory; ///< empty: standard error
     int log_level = 0;         ///< glog severity: 0 info, 1 warning, 2 error
 };
--- a/src/settings/internal/daemon_fields.cpp
+++ b/src/settings/internal/daemon_fields.cpp
@@ -17,6 +17,10 @@
 constexpr double most_weight = 100.0;
 constexpr std::uint32_t most_engines_per_cell = 256;
 constexpr int most_log_level = 2;
+constexpr double least_loads_per_minute = 0.01;
+constexpr double most_loads_per_minute = 100'000.0;
+/// A second of the lease is never used for sending.
+constexpr std::chrono::seconds shortest_order_lease = 2s;
 
 codec<std::string> file_name() {
     return or_empty(text(1, max_file_name_bytes));
@@ -65,6 +69,33 @@
     };
 }
 
+field_table<order_rules> order_fields() {
+    return {
+        make_field("loads_per_minute", &order_rules::loads_per_minute,
+                   number(least_loads_per_minute, most_loads_per_minute),
+                   "loads that the weight store takes from all cells together; each cell gets an "
+                   "equal part"),
+        make_field("lease_s", &order_rules::lease,
+                   time<std::chrono::seconds>(shortest_order_lease, 600s, "s"),
+                   "lease of the daemon that issues a cell's orders"),
+        make_field("lease_idle_s", &order_rules::lease_idle,
+                   time<std::chrono::seconds>(0s, 24h, "s"),
+                   "time without orders after which the lease is given up"),
+        make_field("longest_order_s", &order_rules::longest_order,
+                   time<std::chrono::seconds>(1s, 1h, "s"),
+                   "longest time that an engine takes to carry out an order"),
+        make_field("connection_idle_s", &order_rules::connection_idle,
+                   time<std::chrono::seconds>(1s, 600s, "s"),
+                   "time after which every engine closes a silent connection"),
+        make_field("pressure_settled_s", &order_rules::pressure_settled,
+                   time<std::chrono::seconds>(1s, 1h, "s"),
+                   "how long a pool must be pressed before an engine changes its role"),
+        make_field("role_change_spacing_s", &order_rules::role_change_spacing,
+                   time<std::chrono::seconds>(1s, 24h, "s"),
+                   "least time between two changes of role in a cell, also after a change of home"),
+    };
+}
+
 field_table<daemon_settings> place_fields() {
     return {
         make_field("name", &daemon_settings::name, name<daemon_id>(),
@@ -110,6 +141,7 @@
         make_field("max_engines_per_cell", &daemon_settings::max_engines_per_cell,
                    integer<std::uint32_t>(2, most_engines_per_cell), "largest cell"),
         make_field("weights", &daemon_settings::weights, object(weight_fields()), ""),
+        make_field("orders", &daemon_settings::orders, object(order_fields()), ""),
         make_field("log_directory", &daemon_settings::log_directory, file_name(),
                    "directory of the log files; empty: standard error"),
         make_field("log_level", &daemon_settings::log_level, integer(0, most_log_level),
--- a/src/settings/internal/service_fields.cpp
+++ b/src/settings/internal/service_fields.cpp
@@ -110,6 +110,9 @@
         make_field("at_most_once", &service::at_most_once, object(at_most_once_fields()), ""),
         make_field("checks_fencing", &service::checks_fencing, boolean(),
                    "whether the backend servers refuse an order with an old fencing number"),
+        make_field("allows_role_change", &service::allows_role_change, boolean(),
+                   "whether a cell under load may order an engine from prefill to decode or back; "
+                   "all services of the model must allow it"),
         make_field("max_prompt_tokens", &service::max_prompt_tokens,
                    integer<std::uint32_t>(1, most_tokens, "tokens"), "longest accepted prompt"),
         make_field("max_output_tokens", &service::max_output_tokens,
--- a/src/settings/service.hpp
+++ b/src/settings/service.hpp
@@ -56,7 +56,8 @@
     std::string rank_header; ///< header from which an allowed caller's rank is taken; empty: none
     std::vector<std::string> urgent_callers; ///< caller tokens that may ask for the urgent rank
     at_most_once_rule at_most_once;
-    bool checks_fencing = true; ///< whether its backend servers refuse old fencing numbers
+    bool checks_fencing = true;      ///< whether its backend servers refuse old fencing numbers
+    bool allows_role_change = false; ///< whether load may move its engines between the pools
     std::uint32_t max_prompt_tokens = 65536;
     std::uint32_t max_output_tokens = 4096;
     std::vector<backend_server> backends;
--- a/test/fakes/fake_engine.cpp
+++ b/test/fakes/fake_engine.cpp
@@ -28,6 +28,10 @@
     add("plain-delay-ms", "ms", cxxopts::value<int>()->default_value("0"));
     add("slots", "decode slots", cxxopts::value<int>()->default_value("20"));
     add("kv-pieces", "pieces of memory", cxxopts::value<int>()->default_value("4096"));
+    add("version", "version of the model", cxxopts::value<std::string>()->default_value(""));
+    add("order-ms", "time of an order, ms", cxxopts::value<int>()->default_value("0"));
+    add("connection-idle-ms", "silence after which a connection is closed, ms",
+        cxxopts::value<int>()->default_value("10000"));
     add("ignores-fencing", "accept old fencing numbers");
     const auto given = described.parse(argc, argv);
     fake_engine::options chosen;
@@ -38,6 +42,9 @@
     chosen.token_interval = std::chrono::milliseconds{given["token-interval-ms"].as<int>()};
     chosen.kv_retention = std::chrono::milliseconds{given["kv-retention-ms"].as<int>()};
     chosen.plain_delay = std::chrono::milliseconds{given["plain-delay-ms"].as<int>()};
+    chosen.version = given["version"].as<std::string>();
+    chosen.order_time = std::chrono::milliseconds{given["order-ms"].as<int>()};
+    chosen.connection_idle = std::chrono::milliseconds{given["connection-idle-ms"].as<int>()};
     chosen.slots = given["slots"].as<int>();
     chosen.kv_pieces = given["kv-pieces"].as<int>();
     chosen.checks_fencing = given.count("ignores-fencing") == 0;
@@ -118,6 +125,7 @@
     auto server = cicadahatch::http::server_builder{}
                       .listen_on(engine.configured.listen)
                       .threads(worker_threads)
+                      .receive_timeout(engine.configured.connection_idle)
                       .handle_with([&](exchange& call) { route(engine, call); })
                       .build();
     if (!server) {
--- a/test/fakes/fake_engine/model_handlers.cpp
+++ b/test/fakes/fake_engine/model_handlers.cpp
@@ -322,7 +322,9 @@
                       {"tokens_per_piece", engine.configured.tokens_per_piece},
                       {"prefill_tokens_per_second", engine.configured.prefill_tokens_per_second},
                       {"cache_sequence", engine.cache_sequence},
-                      {"models", json::array({engine.configured.model})}};
+                      {"models", json::array({{{"name", engine.configured.model},
+                                               {"version", engine.configured.version},
+                                               {"adapters", engine.adapters}}})}};
     call.respond(json_response(200, answer.dump()));
 }
 
@@ -336,25 +338,4 @@
     call.respond(json_response(200, answer.dump()));
 }
 
-void handle_order(state& engine, exchange& call) {
-    const json asked = body_of(call);
-    if (!asked.is_object()) {
-        return refuse(call, 400, "bad_request");
-    }
-    const std::lock_guard lock{engine.mutex};
-    const std::uint64_t fencing = asked.value("fencing", std::uint64_t{0});
-    if (engine.configured.checks_fencing && fencing < engine.highest_fencing) {
-        return refuse(call, 409, "stale_fencing");
-    }
-    engine.highest_fencing = std::max(engine.highest_fencing, fencing);
-    engine.orders.push_back(asked.dump());
-    if (asked.value("kind", "") == "set_role") {
-        engine.configured.role = asked.value("role", engine.configured.role);
-    }
-    if (asked.value("kind", "") == "load_model") {
-        engine.configured.model = asked.value("model", engine.configured.model);
-    }
-    call.respond(json_response(200, "{}"));
-}
-
 } // namespace fake_engine
--- a/test/fakes/fake_engine/plain_handlers.cpp
+++ b/test/fakes/fake_engine/plain_handlers.cpp
@@ -31,6 +31,19 @@
             {"tokens", record.tokens}, {"is_used", record.is_used}};
 }
 
+std::int64_t milliseconds_of(cicadahatch::time_point moment) {
+    const auto since = moment.time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+}
+
+json to_json(const order_record& record) {
+    json made = json::parse(record.text);
+    made["began_ms"] = milliseconds_of(record.began);
+    made["ended_ms"] = milliseconds_of(record.ended);
+    made["is_refused"] = record.is_refused;
+    return made;
+}
+
 std::size_t remember_run(state& engine, const exchange& call) {
     const auto& headers = call.request().headers;
     const std::string* key = find_header(headers, "Idempotency-Key");
@@ -79,8 +92,12 @@
     for (const auto& [handle, kept] : engine.holdings) {
         held.push_back({{"request_id", kept.request}, {"attempt", kept.attempt}});
     }
+    json orders = json::array();
+    for (const order_record& record : engine.orders) {
+        orders.push_back(to_json(record));
+    }
     const json answer{
-        {"runs", runs}, {"held", held}, {"orders", engine.orders}, {"transfers", engine.transfers}};
+        {"runs", runs}, {"held", held}, {"orders", orders}, {"transfers", engine.transfers}};
     call.respond(json_response(200, answer.dump()));
 }
 
--- a/test/fakes/fake_engine/state.hpp
+++ b/test/fakes/fake_engine/state.hpp
@@ -30,10 +30,13 @@
     cicadahatch::http::endpoint listen{"127.0.0.1", 0};
     std::string role = "plain";
     std::string model = "model";
+    std::string version;
     double prefill_tokens_per_second = 20'000;
     std::chrono::milliseconds token_interval{20};
     std::chrono::milliseconds kv_retention{800};
     std::chrono::milliseconds plain_delay{0};
+    std::chrono::milliseconds order_time{0};
+    std::chrono::milliseconds connection_idle{cicadahatch::http::default_receive_timeout};
     int slots = 20;
     int kv_pieces = 4096;
     int tokens_per_piece = 16;
@@ -62,6 +65,14 @@
     bool is_used = false; ///< prefill: its result was taken up
 };
 
+/// One order that the stand-in carried out or refused, with its own clock's times.
+struct order_record {
+    std::string text; ///< the order's JSON
+    cicadahatch::time_point began;
+    cicadahatch::time_point ended; ///< as began while it is under way
+    bool is_refused = false;
+};
+
 /// State shared by the handlers; the mutex guards all of it.
 struct state {
     options configured;
@@ -80,7 +91,8 @@
     std::map<std::string, std::uint32_t> cancelled; ///< request → highest cancelled attempt
     std::deque<std::string> cached_prefixes;
     std::vector<run_record> records;
-    std::vector<std::string> orders;
+    std::vector<std::string> adapters;
+    std::deque<order_record> orders;
 };
 
 /// \returns the token at a position of the answer to a prompt: the same on every engine
--- a/test/orders/issuer_test.cpp
+++ b/test/orders/issuer_test.cpp
@@ -29,6 +29,22 @@
     issuer second{kept, time, cell_id{"cell"}, daemon_id{"b"}, {}};
     recording_sender sender;
 
+    /// Sends the admitted ones of some orders in turn.
+    /// \returns how many were carried out
+    std::size_t issue(issuer& by, const std::vector<order>& due) {
+        std::size_t carried_out = 0;
+        for (const order& next : due) {
+            const auto permit = by.admit(next);
+            if (!permit) {
+                continue;
+            }
+            const auto answer = sender.send(next, permit->number, permit->not_after);
+            by.note_outcome(*permit, answer ? std::error_code{} : answer.error());
+            carried_out += answer ? 1 : 0;
+        }
+        return carried_out;
+    }
+
     static order load(const std::string& engine) {
         order made;
         made.engine = backend_id{engine};
@@ -68,7 +84,7 @@
     kept.set_fault(store_fault::unavailable);
     time.advance(14s);
     CHECK(first.tick());
-    CHECK(first.issue({load("e")}, sender) == 0);
+    CHECK(issue(first, {load("e")}) == 0);
     time.advance(2s);
     CHECK(first.tick());
     CHECK_FALSE(first.held());
@@ -95,11 +111,11 @@
 TEST_CASE_FIXTURE(issuer_fixture, "issuer, many loads due, the weight store's rate is kept") {
     REQUIRE_FALSE(first.tick());
     const std::vector<order> due(10, load("e"));
-    CHECK(first.issue(due, sender) == 1);
+    CHECK(issue(first, due) == 1);
     for (int second_passed = 0; second_passed < 60; ++second_passed) {
         time.advance(1s);
         REQUIRE_FALSE(first.tick());
-        first.issue(due, sender);
+        issue(first, due);
     }
     CHECK(sender.sent.size() <= 7);
     CHECK(sender.sent.size() >= 6);
@@ -108,7 +124,7 @@
 TEST_CASE_FIXTURE(issuer_fixture, "issuer, engine has seen a higher number, gives the cell up") {
     REQUIRE_FALSE(first.tick());
     sender.answer = errc::stale_fencing;
-    CHECK(first.issue({load("e"), load("f")}, sender) == 0);
+    CHECK(issue(first, {load("e"), load("f")}) == 0);
     CHECK(sender.sent.size() == 1);
     CHECK_FALSE(first.held());
 }
@@ -118,12 +134,12 @@
     order unfenced = load("e");
     unfenced.checks_fencing = false;
     unfenced.kind = order_kind::set_role;
-    CHECK(first.issue({unfenced}, sender) == 0);
+    CHECK(issue(first, {unfenced}) == 0);
     for (int second_passed = 0; second_passed < 145; ++second_passed) {
         time.advance(1s);
         REQUIRE_FALSE(first.tick());
     }
-    CHECK(first.issue({unfenced}, sender) == 1);
+    CHECK(issue(first, {unfenced}) == 1);
 }
 
 TEST_CASE("reconcile, engine without its model, model first, then role, then adapter") {
