Take a VM that the platform lists as leaving out of use at every daemon

Cause: a daemon that reads the platform's list of VMs need not be the home of the engines that it names, so it often knows no incarnation of them. Then note_leaving() had nothing to mark, nothing was told to the others, and the VM counted as dealt with for good. A plain server's leaving, told by gossip, was not seen by daemons that had no report of its incarnation. Ruled out: the list's reading itself (one daemon that is watcher and home did mark them), the gossip of payloads (own reports of servers spread). Change: the reader asks a server for its incarnation where it has none, and spreads the VM's name with it, so that another reader does not take a new start at the address for the old one. While the incarnation is not known, one that has left counts as leaving; all daemons of the domain look for a plain server that is out of use. The settings get advertised_peers, for daemons behind address translation; the test of a cut failure domain will need it. A plain server that reports no load can't be taken out by the list: open.

--- a/src/membership/agent.cpp
+++ b/src/membership/agent.cpp
@@ -302,6 +302,11 @@
     return *this;
 }
 
+agent_builder& agent_builder::advertise(http::endpoint place) {
+    advertised_ = std::move(place);
+    return *this;
+}
+
 agent_builder& agent_builder::secret(std::string shared) {
     secret_ = std::move(shared);
     return *this;
@@ -367,7 +372,7 @@
     {
         const std::lock_guard lock{state->mutex};
         state->server = std::move(*server);
-        state->gossip.self.place = state->server->place();
+        state->gossip.self.place = advertised_.value_or(state->server->place());
     }
     state->runner = std::thread{[running = state.get()] { running->run(); }};
     return std::unique_ptr<agent>{new agent{std::move(state)}};
--- a/src/membership/agent.hpp
+++ b/src/membership/agent.hpp
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -86,6 +87,8 @@
     agent_builder& named(daemon_id self, domain_id domain, incarnation started);
     /// \param place port 0 picks a free one
     agent_builder& listen_on(http::endpoint place);
+    /// \param place where other members reach the listener; not called: where it listens
+    agent_builder& advertise(http::endpoint place);
     agent_builder& secret(std::string shared);
     agent_builder& tls(http::tls_files listener, http::client_tls links);
     /// \param count worker threads; each incoming link holds one
@@ -104,6 +107,7 @@
 private:
     friend class agent;
     member_record self_;
+    std::optional<http::endpoint> advertised_;
     std::string secret_;
     http::tls_files listener_tls_;
     http::client_tls link_tls_;
--- a/src/serving/admin_handler.cpp
+++ b/src/serving/admin_handler.cpp
@@ -45,7 +45,7 @@
             {"domain", server.domain.str()},
             {"service", server.service.str()},
             {"takes_work", takes_work(server)},
-            {"leaving", !server.left.empty() && server.left == server.started},
+            {"leaving", has_left(server)},
             {"drained", server.is_drained},
             {"reachable", server.is_reachable},
             {"running", server.load.running},
--- a/src/serving/backend_directory.cpp
+++ b/src/serving/backend_directory.cpp
@@ -68,7 +68,7 @@
 } // namespace
 
 bool has_left(const backend_row& server) {
-    return !server.left.empty() && server.left == server.started;
+    return !server.left.empty() && server.started <= server.left;
 }
 
 bool takes_work(const backend_row& server) {
--- a/src/serving/backend_directory.hpp
+++ b/src/serving/backend_directory.hpp
@@ -34,7 +34,8 @@
     int in_flight = 0;   ///< plain calls of this daemon that are running
 };
 
-/// \returns whether the running incarnation of the backend server is leaving or has left
+/// \returns whether the running incarnation of the backend server is leaving or has left; while
+/// that is not known, whether any incarnation is
 [[nodiscard]] bool has_left(const backend_row& server);
 
 /// \returns whether new work may go to the backend server
--- a/src/serving/daemon.cpp
+++ b/src/serving/daemon.cpp
@@ -5,11 +5,13 @@
 #include "src/core/constants.hpp"
 #include "src/core/hash.hpp"
 #include "src/core/macros.hpp"
+#include "src/engines/calls.hpp"
 #include "src/platform/etcd_store.hpp"
 #include "src/platform/guarded_store.hpp"
 #include "src/scheduling/cell_home.hpp"
 #include "src/serving/constants.hpp"
 
+#include <algorithm>
 #include <glog/logging.h>
 
 namespace cicadahatch::serving {
@@ -103,6 +105,15 @@
         .build();
 }
 
+/// \returns the incarnation that runs; asks the server if this daemon has had no report of it
+incarnation incarnation_of(const backend_row& server, http::client_pool& pool) {
+    if (!server.started.empty()) {
+        return server.started;
+    }
+    const auto load = engines::fetch_load(pool, server.place);
+    return load ? load->started : incarnation{};
+}
+
 /// A drain holds for one incarnation of the backend server: "1:INCARNATION", or "0" to end it.
 std::string to_drain_value(bool is_drained, incarnation started) {
     return is_drained ? "1:" + std::to_string(started.value()) : "0";
@@ -276,7 +287,9 @@
             return hosted.count(server.id) != 0;
         }
         const auto asker = scheduling::cell_homes(cell_id{server.id.str()}, live, 1);
-        return !server.is_reachable || asker.empty() || asker.front() == self;
+        // Every daemon looks for itself whether a server that is out of use is there again.
+        const bool is_out = !server.is_reachable || has_left(server);
+        return is_out || asker.empty() || asker.front() == self;
     };
 }
 
@@ -370,34 +383,58 @@
 
 void daemon::follow_vm_list() {
     platform::vm_list_client client{to_places(configured_.platform_endpoints)};
+    http::client_pool pool;
     while (!is_stopping_) {
         if (is_watcher()) {
             if (const auto listed = client.fetch()) {
-                note_vms(*listed);
+                note_vms(*listed, pool);
             }
         }
         wait(vm_list_period);
     }
 }
 
-void daemon::note_vms(const platform::vm_list& listed) {
+void daemon::note_vms(const platform::vm_list& listed, http::client_pool& pool) {
     for (const platform::virtual_machine& vm : listed) {
-        // A VM leaves once; what is restarted at its address later is another one.
-        if (vm.state != platform::vm_state::leaving || !vms_left_.insert(vm.id).second) {
+        if (vm.state != platform::vm_state::leaving) {
             continue;
         }
         const auto is_on_vm = [&](const backend_row& server) {
             return to_string(server.place) == vm.address || server.place.host == vm.address;
         };
         for (const backend_row& server : directory_.select(is_on_vm)) {
-            if (directory_.note_leaving(server.id, server.started)) {
-                LOG(INFO) << "platform: backend server " << server.id.str() << " is leaving";
-                network_->gossip().announce_leaving_backend(server.id, server.started);
+            // A VM leaves once; what is restarted at its address later is on another one.
+            if (!is_known_to_leave(server.id, vm)) {
+                note_leaving(server, vm, pool);
             }
         }
     }
 }
 
+bool daemon::is_known_to_leave(const backend_id& server,
+                               const platform::virtual_machine& vm) const {
+    if (vms_left_.count({vm.id, server}) != 0) {
+        return true;
+    }
+    const auto told = network_->gossip().payloads(rpc::payload_kind::leaving_backend);
+    return std::any_of(told.begin(), told.end(), [&](const rpc::payload& value) {
+        return value.key == server.str() && value.value == vm.id;
+    });
+}
+
+void daemon::note_leaving(const backend_row& server, const platform::virtual_machine& vm,
+                          http::client_pool& pool) {
+    const incarnation started = incarnation_of(server, pool);
+    if (started.empty()) {
+        return; // It does not answer, or reports no load; the next look asks again.
+    }
+    LOG(INFO) << "platform: backend server " << server.id.str() << " is leaving";
+    vms_left_.insert({vm.id, server.id});
+    directory_.note_leaving(server.id, started);
+    network_->gossip().set_payload(rpc::payload_kind::leaving_backend, server.id.str(),
+                                   started.value(), vm.id);
+}
+
 bool daemon::shut_down() {
     LOG(INFO) << "serving: shutting down";
     drain_.begin();
--- a/src/serving/daemon.hpp
+++ b/src/serving/daemon.hpp
@@ -3,6 +3,7 @@
 #include "src/claims/claim_book.hpp"
 #include "src/configuration/holder.hpp"
 #include "src/core/result.hpp"
+#include "src/http/client_pool.hpp"
 #include "src/http/server.hpp"
 #include "src/metrics/registry.hpp"
 #include "src/platform/store.hpp"
@@ -22,6 +23,7 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <utility>
 
 namespace cicadahatch::serving {
 
@@ -64,7 +66,12 @@
     void spread_digests();
     void tend_claims();
     void follow_vm_list();
-    void note_vms(const platform::vm_list& listed);
+    void note_vms(const platform::vm_list& listed, http::client_pool& pool);
+    /// Whether this daemon or another has told that the server leaves because this VM does.
+    [[nodiscard]] bool is_known_to_leave(const backend_id& server,
+                                         const platform::virtual_machine& vm) const;
+    void note_leaving(const backend_row& server, const platform::virtual_machine& vm,
+                      http::client_pool& pool);
     void wait(std::chrono::milliseconds time);
     [[nodiscard]] bool drain_backend(const backend_id& backend, bool is_drained);
 
@@ -96,7 +103,8 @@
     std::unique_ptr<http::server> callers_;
     std::unique_ptr<http::server> admin_;
     std::uint64_t digest_round_ = 0; ///< used by the thread that drives the cells
-    std::set<std::string> vms_left_; ///< used by the thread that follows the VM list
+    std::set<std::pair<std::string, backend_id>>
+        vms_left_; ///< used by the thread that follows the VM list
     std::mutex mutex_;
     std::condition_variable stopping_;
     std::atomic<bool> is_stopping_{false};
--- a/src/serving/membership_network.cpp
+++ b/src/serving/membership_network.cpp
@@ -52,6 +52,9 @@
                 << "membership: messages to " << peer.str() << " lost: " << reason.message();
             events_.on_loss(lost);
         });
+    if (const auto advertised = http::parse_endpoint(configured.advertised_peers)) {
+        builder.advertise(*advertised);
+    }
     auto agent = builder.build();
     if (!agent) {
         return tl::unexpected(agent.error());
--- a/src/settings/daemon_settings.hpp
+++ b/src/settings/daemon_settings.hpp
@@ -34,8 +34,9 @@
     listener callers;
     listener admin;
     listener peers;
-    std::string peer_secret; ///< shared secret between daemons; empty only without a listener
-    std::string admin_token; ///< bearer token of the admin listener; empty: none
+    std::string advertised_peers; ///< "host:port" told to other daemons; empty: that of peers
+    std::string peer_secret;      ///< shared secret between daemons; empty only without a listener
+    std::string admin_token;      ///< bearer token of the admin listener; empty: none
     std::vector<std::string> platform_endpoints; ///< "host:port" of the key-value service
     std::vector<std::string> seed_peers; ///< "host:port" of peers, beside the platform's VM list
     std::uint64_t max_body_bytes = 1048576;
--- a/src/settings/internal/daemon_checks.cpp
+++ b/src/settings/internal/daemon_checks.cpp
@@ -37,6 +37,9 @@
     if (!described.peers.address.empty() && described.peer_secret.empty()) {
         faults.add("peer_secret", errc::missing_field, "16 to 256 bytes with a peers listener");
     }
+    if (described.peers.address.empty() && !described.advertised_peers.empty()) {
+        faults.add("advertised_peers", errc::contradictory, "empty without a peers listener");
+    }
     if (!is_loopback(described.admin.address) && described.admin_token.empty()) {
         faults.add("admin_token", errc::missing_field,
                    "16 to 256 bytes unless the admin listener is on loopback");
--- a/src/settings/internal/daemon_fields.cpp
+++ b/src/settings/internal/daemon_fields.cpp
@@ -74,6 +74,9 @@
         make_field("callers", &daemon_settings::callers, needed_listener(), "", presence::required),
         make_field("admin", &daemon_settings::admin, needed_listener(), "", presence::required),
         make_field("peers", &daemon_settings::peers, optional_listener(), ""),
+        make_field("advertised_peers", &daemon_settings::advertised_peers, or_empty(place(true)),
+                   "where other daemons reach the `peers` listener behind address translation; "
+                   "empty: at its own address"),
         make_field("peer_secret", &daemon_settings::peer_secret, secret(),
                    "secret shared by all daemons; required with a `peers` listener"),
         make_field(
