Prove the orders with real daemons and engines

A relay stands before an engine and holds the first order back, so that a frozen issuer's order surely comes after its successor's. The engine's own record gives each order's number, begin and end.

--- a/test/support/cluster.hpp
+++ b/test/support/cluster.hpp
@@ -38,6 +38,11 @@
     /// \brief Starts a backend server again at the address that it had.
     void restart_backend(const std::string& name);
 
+    /// \brief Publishes a backend server under another address, such as that of a relay.
+    void redirect_backend(const std::string& name, const http::endpoint& place) {
+        started_.at(name).described.address = to_string(place);
+    }
+
     /// \brief Starts a daemon that knows the daemons started before it.
     /// \param overrides lines of JSON fields put into its settings
     void start_daemon(const std::string& name, const std::string& domain,
