Keep watching the store after an outage, and bound the digests

Three causes, found with real daemons on loopback:

A daemon that failed to reach the store stepped down as a watcher, taking the others to reach it, and was asked to look again by nobody. After an outage of 12 s no daemon of a domain of eight watched the store or followed the VM list, so a change never came into force. Others can't know that a watcher doesn't reach the store, so it now goes on trying behind its circuit breaker.

A daemon that hears of a change now asks the watchers first, each daemon beginning with another one; the order was by name and the first asked was often behind itself, which costs 500 ms a try. Daemons count the bytes that they exchange with others on /metrics.

Left: a watcher that alone is cut off from the store is not replaced while it lives; the two others of its domain carry the changes.

--- a/bench/path_bench/process_usage.cpp
+++ b/bench/common/process_usage.cpp
@@ -1,10 +1,10 @@
-#include "bench/path_bench/process_usage.hpp"
+#include "bench/common/process_usage.hpp"
 
 #include <fstream>
 #include <string>
 #include <unistd.h>
 
-namespace path_bench {
+namespace cicadahatch::bench {
 
 namespace {
 
@@ -41,4 +41,4 @@
     return std::chrono::microseconds{(user + system) * microseconds_per_second / ticks_per_second};
 }
 
-} // namespace path_bench
+} // namespace cicadahatch::bench
--- a/bench/path_bench/process_usage.hpp
+++ b/bench/common/process_usage.hpp
@@ -3,7 +3,7 @@
 #include <chrono>
 #include <sys/types.h>
 
-namespace path_bench {
+namespace cicadahatch::bench {
 
 /// \returns the resident memory of a process, in KiB
 [[nodiscard]] long resident_kib(pid_t process);
@@ -11,4 +11,4 @@
 /// \returns the processor time that a process has used, in user and in system mode
 [[nodiscard]] std::chrono::microseconds processor_time(pid_t process);
 
-} // namespace path_bench
+} // namespace cicadahatch::bench
--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -1,5 +1,5 @@
+#include "bench/common/process_usage.hpp"
 #include "bench/path_bench/event_client.hpp"
-#include "bench/path_bench/process_usage.hpp"
 #include "src/engines/calls.hpp"
 #include "src/engines/internal/requests.hpp"
 #include "test/support/cluster.hpp"
@@ -137,10 +137,10 @@
     for (int round = 0; round < rounds; ++round) {
         run_round(
             streams, [&](int stream) { return from_engines(running, stream); }, direct);
-        const auto before = path_bench::processor_time(daemon);
+        const auto before = bench::processor_time(daemon);
         run_round(
             streams, [&](int stream) { return through_daemon(running, stream); }, through);
-        through.processor += path_bench::processor_time(daemon) - before;
+        through.processor += bench::processor_time(daemon) - before;
     }
     print_line("first token", streams, direct.first_ms, through.first_ms, p50, "p50");
     print_line("first token", streams, direct.first_ms, through.first_ms, p99, "p99");
@@ -172,26 +172,26 @@
 
 void measure_idle(cluster& running) {
     const pid_t daemon = running.daemon("entry-1").id();
-    const long before = path_bench::resident_kib(daemon);
+    const long before = bench::resident_kib(daemon);
     std::vector<std::unique_ptr<raw_caller>> callers;
     for (int number = 0; number < idle_connections; ++number) {
         callers.push_back(std::make_unique<raw_caller>(running.callers("entry-1")));
         callers.back()->send("GET /live HTTP/1.1\r\nHost: bench\r\n\r\n");
         static_cast<void>(callers.back()->receive_until("true"));
     }
-    const long with = path_bench::resident_kib(daemon);
+    const long with = bench::resident_kib(daemon);
     std::printf("resident: %ld KiB at rest, %.1f KiB more an idle connection\n", before,
                 static_cast<double>(with - before) / idle_connections);
 }
 
 void measure_active(cluster& running) {
     const pid_t daemon = running.daemon("entry-1").id();
-    const long before = path_bench::resident_kib(daemon);
+    const long before = bench::resident_kib(daemon);
     std::atomic<bool> is_over{false};
     long highest = before;
     std::thread watcher{[&] {
         while (!is_over) {
-            highest = std::max(highest, path_bench::resident_kib(daemon));
+            highest = std::max(highest, bench::resident_kib(daemon));
             std::this_thread::sleep_for(start_interval);
         }
     }};
--- a/src/configuration/follower.hpp
+++ b/src/configuration/follower.hpp
@@ -24,6 +24,9 @@
     /// again, nothing is missed
     [[nodiscard]] result<bool> poll(std::chrono::milliseconds wait);
 
+    /// \brief Keeps no watch open until the next poll, which misses nothing.
+    void rest() { watch_.rest(); }
+
 private:
     void note_head(const platform::watch_update& update);
     [[nodiscard]] result<bool> take_pending();
--- a/src/configuration/watchers.cpp
+++ b/src/configuration/watchers.cpp
@@ -28,4 +28,23 @@
     return static_cast<std::size_t>(before) < watchers;
 }
 
+std::vector<daemon_id> exchange_order(const daemon_id& self, std::vector<daemon_id> peers) {
+    std::sort(peers.begin(), peers.end(), [](const daemon_id& left, const daemon_id& right) {
+        return rank_of({left}) < rank_of({right});
+    });
+    const auto first = static_cast<std::ptrdiff_t>(std::min(watchers_per_domain, peers.size()));
+    const auto rotate = [&](auto begin, auto end) {
+        if (begin != end) {
+            std::rotate(begin,
+                        begin +
+                            static_cast<std::ptrdiff_t>(stable_hash(self.str()) %
+                                                        static_cast<std::uint64_t>(end - begin)),
+                        end);
+        }
+    };
+    rotate(peers.begin(), peers.begin() + first);
+    rotate(peers.begin() + first, peers.end());
+    return peers;
+}
+
 } // namespace cicadahatch::configuration
--- a/src/configuration/watchers.hpp
+++ b/src/configuration/watchers.hpp
@@ -22,4 +22,10 @@
 [[nodiscard]] bool is_watcher(const daemon_id& self, const std::vector<watch_candidate>& live,
                               std::size_t watchers = watchers_per_domain);
 
+/// \brief Orders peers for asking them for a change: the watchers first, who have it soonest.
+/// Each daemon begins with another one of them, so that they share the work.
+/// \param peers live daemons other than self
+[[nodiscard]] std::vector<daemon_id> exchange_order(const daemon_id& self,
+                                                    std::vector<daemon_id> peers);
+
 } // namespace cicadahatch::configuration
--- a/src/platform/etcd_store.hpp
+++ b/src/platform/etcd_store.hpp
@@ -44,6 +44,7 @@
     [[nodiscard]] result<void> revoke_lease(lease_id lease) override;
     [[nodiscard]] result<change_batch> watch(const std::string& prefix, revision from,
                                              std::chrono::milliseconds wait) override;
+    void end_watch(const std::string& prefix) override { forget_reader(prefix); }
 
 private:
     [[nodiscard]] result<std::string> read(const std::string& path, const std::string& body);
--- a/src/platform/guarded_store.cpp
+++ b/src/platform/guarded_store.cpp
@@ -133,4 +133,12 @@
     return batch;
 }
 
+void guarded_store::end_watch(const std::string& prefix) {
+    {
+        const std::lock_guard lock{mutex_};
+        watched_.erase(prefix);
+    }
+    kept_.end_watch(prefix);
+}
+
 } // namespace cicadahatch::platform
--- a/src/platform/guarded_store.hpp
+++ b/src/platform/guarded_store.hpp
@@ -50,6 +50,7 @@
     [[nodiscard]] result<void> revoke_lease(lease_id lease) override;
     [[nodiscard]] result<change_batch> watch(const std::string& prefix, revision from,
                                              std::chrono::milliseconds wait) override;
+    void end_watch(const std::string& prefix) override;
 
 private:
     /// \param bucket null: the call spends no token
--- a/src/platform/resuming_watch.hpp
+++ b/src/platform/resuming_watch.hpp
@@ -27,6 +27,9 @@
     /// After an error the caller pauses and calls again.
     [[nodiscard]] result<watch_update> poll(std::chrono::milliseconds wait);
 
+    /// \brief Keeps no watch open until the next poll, which goes on from the same place.
+    void rest() { kept_.end_watch(prefix_); }
+
     /// \brief Has the next poll list again.
     void restart() { next_ = {}; }
 
--- a/src/platform/store.hpp
+++ b/src/platform/store.hpp
@@ -92,6 +92,10 @@
     /// \returns the changes without a gap, or errc::compacted
     [[nodiscard]] virtual result<change_batch> watch(const std::string& prefix, revision from,
                                                      std::chrono::milliseconds wait) = 0;
+
+    /// \brief Gives up what a store keeps open between two calls of watch(), since a waiting watch
+    /// counts as a call. A later watch() opens it anew and misses nothing.
+    virtual void end_watch(const std::string& /*prefix*/) {}
 };
 
 } // namespace cicadahatch::platform
--- a/src/serving/configuration_exchange.cpp
+++ b/src/serving/configuration_exchange.cpp
@@ -37,7 +37,10 @@
 
 void configuration_exchange::note_revision(revision known) {
     const std::lock_guard lock{mutex_};
-    known_ = std::max(known_, known);
+    if (known > known_) {
+        known_ = known;
+        next_peer_ = 0;
+    }
 }
 
 void configuration_exchange::tick(const std::vector<daemon_id>& peers) {
--- a/src/serving/configuration_exchange.hpp
+++ b/src/serving/configuration_exchange.hpp
@@ -31,7 +31,7 @@
     void note_revision(revision known);
 
     /// \brief Asks the next peer, if this daemon is behind and no request is under way.
-    /// \param peers live daemons other than this one, those of the own failure domain first
+    /// \param peers live daemons other than this one, in the order to ask them in
     void tick(const std::vector<daemon_id>& peers);
 
     /// \brief Answers a peer's request.
--- a/src/serving/daemon.cpp
+++ b/src/serving/daemon.cpp
@@ -9,6 +9,7 @@
 #include "src/platform/guarded_store.hpp"
 #include "src/scheduling/cell_home.hpp"
 #include "src/serving/constants.hpp"
+#include "src/serving/digest_period.hpp"
 
 #include <glog/logging.h>
 
@@ -19,8 +20,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds refresh_period{100};
-constexpr milliseconds digest_period{500};
-constexpr int digests_per_domain_digest = 10;
+constexpr milliseconds traffic_period{1000};
 constexpr milliseconds exchange_period{100};
 constexpr milliseconds watch_wait{2000};
 constexpr milliseconds watch_pause{200};
@@ -289,7 +289,7 @@
     std::vector<daemon_id> others = network_->live_daemons(configured_.domain);
     std::erase(others, configured_.name);
     if (!others.empty()) {
-        return others;
+        return configuration::exchange_order(configured_.name, std::move(others));
     }
     for (const domain_id& domain : network_->gossip().known_domains()) {
         for (const daemon_id& far : network_->live_daemons(domain)) {
@@ -302,7 +302,9 @@
 bool daemon::is_watcher() {
     std::vector<configuration::watch_candidate> live;
     for (const daemon_id& id : network_->live_daemons(configured_.domain)) {
-        live.push_back({id, id != configured_.name || reaches_store_});
+        // The others can't know that this daemon doesn't reach the store and take its place, so
+        // it goes on trying; stepping down would leave nobody after an outage of the store.
+        live.push_back({id});
     }
     return configuration::is_watcher(configured_.name, live);
 }
@@ -311,11 +313,11 @@
     configuration::follower follower{*store_, configuration_};
     while (!is_stopping_) {
         if (configuration_.is_ready() && !is_watcher()) {
+            follower.rest();
             wait(watch_pause);
             continue;
         }
         const auto polled = follower.poll(watch_wait);
-        reaches_store_ = polled.has_value();
         if (!polled) {
             LOG_EVERY_N(WARNING, 50) << "configuration: store: " << polled.error().message();
             wait(watch_pause);
@@ -333,34 +335,55 @@
 void daemon::drive_cells() {
     time_point refreshed;
     time_point spread;
+    time_point spread_wide;
+    time_point counted;
     while (!is_stopping_) {
         const time_point now = time_.now();
         if (now - refreshed >= refresh_period) {
             refreshed = now;
             broker_->refresh();
         }
-        if (now - spread >= digest_period) {
+        if (now - spread >= digest_period(broker_->own_cell_count(), cell_digest_limits)) {
             spread = now;
-            spread_digests();
+            spread_digests(rpc::payload_kind::cell_digest);
+        }
+        if (now - spread_wide >= digest_period(broker_->cell_count(), domain_digest_limits)) {
+            spread_wide = now;
+            spread_digests(rpc::payload_kind::domain_digest);
+        }
+        if (now - counted >= traffic_period) {
+            counted = now;
+            note_traffic();
         }
         broker_->tick();
         wait(cicadahatch::tick_period);
     }
 }
 
-void daemon::spread_digests() {
-    ++digest_round_;
+void daemon::spread_digests(rpc::payload_kind kind) {
     const auto version = next_incarnation(time_).value();
     for (const scheduling::cell_digest& digest : broker_->own_digests()) {
-        membership::agent& gossip = network_->gossip();
-        const std::string value = encode_digest(digest);
-        gossip.set_payload(rpc::payload_kind::cell_digest, digest.id.str(), version, value);
-        if (digest_round_ % digests_per_domain_digest == 1) {
-            gossip.set_payload(rpc::payload_kind::domain_digest, digest.id.str(), version, value);
-        }
+        network_->gossip().set_payload(kind, digest.id.str(), version, encode_digest(digest));
     }
 }
 
+void daemon::note_traffic() {
+    const rpc::traffic now = network_->gossip().carried();
+    const auto add = [&](const char* name, const char* help, std::uint64_t rpc::traffic::*count) {
+        values_.counter_of(metrics::metric_name{name}, help)
+            .add(now.*count - noted_traffic_.*count);
+    };
+    add("cicadahatch_peer_bytes_sent_total", "Bytes sent to other daemons",
+        &rpc::traffic::bytes_sent);
+    add("cicadahatch_peer_bytes_received_total", "Bytes received from other daemons",
+        &rpc::traffic::bytes_received);
+    add("cicadahatch_peer_batches_total", "Batches sent to and taken from other daemons",
+        &rpc::traffic::batches);
+    add("cicadahatch_peer_messages_total", "Messages sent to and taken from other daemons",
+        &rpc::traffic::messages);
+    noted_traffic_ = now;
+}
+
 void daemon::tend_claims() {
     while (!is_stopping_) {
         claims_->tend(tend_limit);
--- a/src/serving/daemon.hpp
+++ b/src/serving/daemon.hpp
@@ -61,7 +61,8 @@
     void follow_configuration();
     void exchange_configuration();
     void drive_cells();
-    void spread_digests();
+    void spread_digests(rpc::payload_kind kind);
+    void note_traffic();
     void tend_claims();
     void follow_vm_list();
     void note_vms(const platform::vm_list& listed);
@@ -73,7 +74,6 @@
     incarnation started_;
     std::unique_ptr<platform::store> etcd_;
     std::unique_ptr<platform::store> store_; ///< etcd_ behind budget and circuit breaker
-    std::atomic<bool> reaches_store_{true};
     configuration::holder configuration_;
     backend_directory directory_;
     engines::canceller cancels_;
@@ -95,7 +95,7 @@
     std::unique_ptr<load_poller> poller_;
     std::unique_ptr<http::server> callers_;
     std::unique_ptr<http::server> admin_;
-    std::uint64_t digest_round_ = 0; ///< used by the thread that drives the cells
+    rpc::traffic noted_traffic_;     ///< used by the thread that drives the cells
     std::set<std::string> vms_left_; ///< used by the thread that follows the VM list
     std::mutex mutex_;
     std::condition_variable stopping_;
--- a/src/serving/grant_broker.cpp
+++ b/src/serving/grant_broker.cpp
@@ -338,6 +338,18 @@
     laid_out_ = configured;
 }
 
+std::size_t grant_broker::cell_count() const {
+    const std::lock_guard lock{mutex_};
+    return plans_.size();
+}
+
+std::size_t grant_broker::own_cell_count() const {
+    const std::lock_guard lock{mutex_};
+    const auto own = std::count_if(plans_.begin(), plans_.end(),
+                                   [&](const cell_plan& plan) { return plan.domain == domain_; });
+    return static_cast<std::size_t>(own);
+}
+
 std::vector<cell_plan> grant_broker::own_plans() const {
     const std::lock_guard lock{mutex_};
     std::vector<cell_plan> own;
--- a/src/serving/grant_broker.hpp
+++ b/src/serving/grant_broker.hpp
@@ -61,6 +61,10 @@
     /// \returns digests of the cells of this home, which are taken in here too
     [[nodiscard]] std::vector<scheduling::cell_digest> own_digests();
 
+    /// \returns the number of cells of all failure domains, and of this daemon's
+    [[nodiscard]] std::size_t cell_count() const;
+    [[nodiscard]] std::size_t own_cell_count() const;
+
     /// \brief Lays out the cells anew and takes, updates or gives up homes. Called about ten
     /// times a second and after changes.
     void refresh();
--- a/test/configuration/follower_test.cpp
+++ b/test/configuration/follower_test.cpp
@@ -149,6 +149,32 @@
     CHECK(is_watcher(before[2], live));
 }
 
+TEST_CASE("exchange order, any daemon, asks the watchers first and each of them as often") {
+    std::vector<watch_candidate> live;
+    std::vector<daemon_id> all;
+    for (int index = 0; index < 60; ++index) {
+        all.emplace_back("daemon-" + std::to_string(index));
+        live.push_back({all.back(), true});
+    }
+    std::map<daemon_id, int> asked;
+    for (const daemon_id& self : all) {
+        std::vector<daemon_id> peers = all;
+        std::erase(peers, self);
+        const std::vector<daemon_id> order = exchange_order(self, peers);
+        REQUIRE(order.size() == peers.size());
+        CHECK(std::is_permutation(order.begin(), order.end(), peers.begin()));
+        if (!is_watcher(self, live)) {
+            CHECK(is_watcher(order[0], live));
+            CHECK(is_watcher(order[2], live));
+            ++asked[order[0]];
+        }
+    }
+    CHECK(asked.size() == watchers_per_domain);
+    for (const auto& [watcher, times] : asked) {
+        CHECK(times > 8);
+    }
+}
+
 TEST_CASE("watchers, one that doesn't reach the store, another takes its place") {
     std::vector<watch_candidate> live;
     live.reserve(7);
--- a/test/fakes/fake_platform/gateway.cpp
+++ b/test/fakes/fake_platform/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "src/platform/internal/base64.hpp"
 
+#include <algorithm>
 #include <thread>
 
 namespace cicadahatch::fake_platform {
@@ -83,6 +84,8 @@
     }
     if (path == "/vms") {
         const std::lock_guard lock{mutex_};
+        ++vm_list_reads_;
+        count_second();
         call.respond(http::json_response(http::status_ok, vms_.dump()));
         return;
     }
@@ -135,6 +138,16 @@
     const std::lock_guard lock{mutex_};
     ++calls_by_path_[path];
     writes_ += is_write ? 1 : 0;
+    count_second();
+}
+
+void gateway::count_second() {
+    const time_point now = time_.now();
+    first_call_ = first_call_.value_or(now);
+    const auto second = static_cast<std::size_t>(
+        std::chrono::duration_cast<std::chrono::seconds>(now - *first_call_).count());
+    calls_by_second_.resize(std::max(calls_by_second_.size(), second + 1));
+    ++calls_by_second_[second];
 }
 
 json gateway::counters() {
@@ -146,6 +159,9 @@
     return {{"calls", calls},
             {"writes", writes_},
             {"open_watches", open_watches_},
+            {"vm_list_reads", vm_list_reads_},
+            {"bytes_answered", bytes_answered_},
+            {"calls_by_second", calls_by_second_},
             {"by_path", calls_by_path_}};
 }
 
@@ -179,7 +195,12 @@
                       "etcdserver: requested lease not found");
         return;
     }
-    call.respond(http::json_response(http::status_ok, outcome.reply->dump()));
+    const std::string body = outcome.reply->dump();
+    {
+        const std::lock_guard lock{mutex_};
+        bytes_answered_ += body.size();
+    }
+    call.respond(http::json_response(http::status_ok, body));
 }
 
 json gateway::range(const json& asked) {
--- a/test/fakes/fake_platform/gateway.hpp
+++ b/test/fakes/fake_platform/gateway.hpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace cicadahatch::fake_platform {
 
@@ -45,6 +46,7 @@
     [[nodiscard]] nlohmann::json counters();
     [[nodiscard]] mode take_mode();
     void count(const std::string& path, bool is_write);
+    void count_second();
 
     system_clock time_;
     test_support::memory_store kept_;
@@ -56,6 +58,10 @@
     nlohmann::json vms_ = nlohmann::json::array();
     std::map<std::string, std::uint64_t> calls_by_path_;
     std::uint64_t writes_ = 0;
+    std::uint64_t vm_list_reads_ = 0;
+    std::uint64_t bytes_answered_ = 0;
+    std::vector<std::uint64_t> calls_by_second_; ///< since the first call
+    std::optional<time_point> first_call_;
     std::uint64_t open_watches_ = 0;
 };
 
