Refuse a publication that readers could not read

Cause: daemons parse each service anew when they read the configuration; publish() wrote whatever it was given. A service without backend servers, or one whose canonical text is over the 256 KB of a service file, was accepted, and from then on no daemon could read any later change. Seen in daemon_cost_bench (800 KB service: "not a configuration") and in a test whose service had no backend server and never came into force.

Change: before the first write the services changed by the publication are parsed as readers do; if one fails, nothing is written and the result is errc::malformed. Unchanged services are not parsed again.

--- a/src/configuration/publish.cpp
+++ b/src/configuration/publish.cpp
@@ -52,6 +52,16 @@
     return !read.recent.empty() && read.recent.front().at <= at;
 }
 
+/// Readers parse each service anew, and one that they refuse would keep all changes from them.
+bool is_readable(const snapshot& planned) {
+    return std::all_of(planned.services().begin(), planned.services().end(),
+                       [&](const auto& entry) {
+                           const accepted_service& accepted = *entry.second;
+                           return accepted.changed != planned.at() ||
+                                  settings::parse_service(accepted.text, "publication").is_valid();
+                       });
+}
+
 } // namespace
 
 publish_steps::publish_steps(publication wanted) : wanted_(std::move(wanted)) {
@@ -136,6 +146,8 @@
         finish(publish_report{publish_status::conflict, in_force, {}, std::move(plan->conflicts)});
     } else if (!planned_) {
         finish(publish_report{publish_status::unchanged, in_force, {}, {}});
+    } else if (!is_readable(*planned_)) {
+        finish(failure(errc::malformed));
     }
 }
 
--- a/src/configuration/publish.hpp
+++ b/src/configuration/publish.hpp
@@ -89,7 +89,8 @@
 /// Returns accepted once the change is in the store, even if the reply that said so was lost.
 /// Unrelated changes of others in between are kept; changes of the same service are a conflict.
 /// \returns the report, errc::not_accepted (surely not), errc::outcome_unknown (repeat with the
-/// same change id to find out), errc::base_unknown, errc::service_too_large or errc::inconsistent
+/// same change id to find out), errc::base_unknown, errc::service_too_large, errc::inconsistent, or
+/// errc::malformed if readers would refuse one of the services
 [[nodiscard]] result<publish_report> publish(platform::store& kept, const publication& wanted,
                                              const publish_limits& limits = {});
 
--- a/test/configuration/publish_test.cpp
+++ b/test/configuration/publish_test.cpp
@@ -56,6 +56,20 @@
     CHECK(load(kept).value()->services().empty());
 }
 
+TEST_CASE_FIXTURE(publish_fixture, "publish, service that readers refuse, keeps what is in force") {
+    REQUIRE(publish({sample_model_service("a")}, {}));
+    settings::service without_backends = sample_model_service("b");
+    without_backends.backends.clear();
+    settings::service too_long = sample_model_service("c");
+    too_long.urgent_callers.assign(3'000, std::string(100, 'x'));
+    for (const settings::service& refused : {without_backends, too_long}) {
+        const auto report = publish({sample_model_service("a"), refused}, revision{1});
+        REQUIRE_FALSE(report);
+        CHECK(report.error() == errc::malformed);
+        CHECK(load(kept).value()->at() == revision{1});
+    }
+}
+
 TEST_CASE_FIXTURE(publish_fixture, "publish, store down, surely not accepted") {
     kept.set_fault(store_fault::unavailable);
     CHECK(publish({sample_model_service("a")}, {}).error() == errc::not_accepted);
