--- a/src/serving/configuration_exchange.cpp
+++ b/src/serving/configuration_exchange.cpp
@@ -40,6 +40,7 @@
     if (known > known_) {
         known_ = known;
         next_peer_ = 0;
+        asked_at_ = {}; // an answer under way is to an older question
     }
 }
 
--- a/test/fakes/fake_engine.cpp
+++ b/test/fakes/fake_engine.cpp
@@ -14,7 +14,7 @@
 using cicadahatch::http::exchange;
 using cicadahatch::http::json_response;
 
-constexpr int worker_threads = 256;
+constexpr const char* default_threads = "256";
 
 fake_engine::options parse(int argc, char** argv) {
     cxxopts::Options described{"fake_engine", "Stand-in of a backend server"};
@@ -29,6 +29,7 @@
     add("slots", "decode slots", cxxopts::value<int>()->default_value("20"));
     add("kv-pieces", "pieces of memory", cxxopts::value<int>()->default_value("4096"));
     add("ignores-fencing", "accept old fencing numbers");
+    add("threads", "worker threads", cxxopts::value<int>()->default_value(default_threads));
     const auto given = described.parse(argc, argv);
     fake_engine::options chosen;
     chosen.listen = cicadahatch::http::parse_endpoint(given["listen"].as<std::string>()).value();
@@ -40,6 +41,7 @@
     chosen.plain_delay = std::chrono::milliseconds{given["plain-delay-ms"].as<int>()};
     chosen.slots = given["slots"].as<int>();
     chosen.kv_pieces = given["kv-pieces"].as<int>();
+    chosen.threads = given["threads"].as<int>();
     chosen.checks_fencing = given.count("ignores-fencing") == 0;
     return chosen;
 }
@@ -117,7 +119,7 @@
     engine.incarnation = start_number();
     auto server = cicadahatch::http::server_builder{}
                       .listen_on(engine.configured.listen)
-                      .threads(worker_threads)
+                      .threads(engine.configured.threads)
                       .handle_with([&](exchange& call) { route(engine, call); })
                       .build();
     if (!server) {
--- a/test/fakes/fake_engine/state.hpp
+++ b/test/fakes/fake_engine/state.hpp
@@ -36,6 +36,7 @@
     std::chrono::milliseconds plain_delay{0};
     int slots = 20;
     int kv_pieces = 4096;
+    int threads = 256; ///< workers of the listener
     int tokens_per_piece = 16;
     bool checks_fencing = true;
     std::chrono::milliseconds transfer_time{0};
--- a/test/support/cluster.cpp
+++ b/test/support/cluster.cpp
@@ -86,7 +86,7 @@
     std::ofstream file{path};
     file << "{\n  // Settings of a test's daemon.\n";
     file << "  \"name\": \"" << name << "\",\n  \"domain\": \"" << domain << "\",\n";
-    file << "  \"callers\": " << listener(256) << ",\n  \"admin\": " << listener(8)
+    file << "  \"callers\": " << listener(caller_threads_) << ",\n  \"admin\": " << listener(8)
          << ",\n  \"peers\": " << listener(32) << ",\n";
     file << "  \"peer_secret\": \"secret-of-the-tests\",\n";
     file << overrides;
--- a/test/support/cluster.hpp
+++ b/test/support/cluster.hpp
@@ -38,6 +38,9 @@
     /// \brief Starts a backend server again at the address that it had.
     void restart_backend(const std::string& name);
 
+    /// \brief Sets the worker threads of the callers' listeners of daemons started from now on.
+    void set_caller_threads(int count) { caller_threads_ = count; }
+
     /// \brief Starts a daemon that knows the daemons started before it.
     /// \param overrides lines of JSON fields put into its settings
     void start_daemon(const std::string& name, const std::string& domain,
@@ -65,6 +68,7 @@
     };
 
     std::string scratch_dir_;
+    int caller_threads_ = 256;
     process platform_;
     std::map<std::string, process> backends_;
     std::map<std::string, started_backend> started_;
