--- a/test/fakes/fake_engine/state.hpp
+++ b/test/fakes/fake_engine/state.hpp
@@ -39,6 +39,7 @@
     std::chrono::milliseconds connection_idle{cicadahatch::http::default_receive_timeout};
     int slots = 20;
     int kv_pieces = 4096;
+    int threads = 256; ///< workers of the listener
     int tokens_per_piece = 16;
     bool checks_fencing = true;
     std::chrono::milliseconds transfer_time{0};
--- a/test/support/cluster.hpp
+++ b/test/support/cluster.hpp
@@ -42,6 +42,8 @@
     void redirect_backend(const std::string& name, const http::endpoint& place) {
         started_.at(name).described.address = to_string(place);
     }
+    /// \brief Sets the worker threads of the callers' listeners of daemons started from now on.
+    void set_caller_threads(int count) { caller_threads_ = count; }
 
     /// \brief Starts a daemon that knows the daemons started before it.
     /// \param overrides lines of JSON fields put into its settings
@@ -70,6 +72,7 @@
     };
 
     std::string scratch_dir_;
+    int caller_threads_ = 256;
     process platform_;
     std::map<std::string, process> backends_;
     std::map<std::string, started_backend> started_;
