Prove what holds when a failure domain is cut off

Cause: no test cut failure domains off from each other and from the platform. Change: a TCP relay stand-in that can be told to pass nothing, like a network that drops packets; the cluster of the tests starts daemons behind relays (their advertised_peers name the relay), can start a daemon again at its addresses, and the platform stand-in can hold back the reply of a write that has taken effect. Ruled out: keys with spaces (the daemon refuses them with 400, as it should).

--- a/test/fakes/fake_platform.cpp
+++ b/test/fakes/fake_platform.cpp
@@ -5,8 +5,10 @@
 #include <iostream>
 
 // A stand-in for the platform: etcd's v3 JSON protocol under /v3, the VM list at /vms, and
-//   POST /control {"mode": "none|unavailable|slow|lose_reply|drop_request", "count": N,
+//   POST /control {"mode": "none|unavailable|slow|lose_reply|drop_request|hold_reply", "count": N,
 //                  "delay_ms": N, "compact": true, "vms": [{id, address, domain, state}]}
+//                 hold_reply keeps back the replies of writes, which take effect, until the next
+//                 mode is set
 //   GET /control/counters
 // It prints "ready HOST:PORT" and runs until SIGTERM or SIGINT.
 
--- a/test/fakes/fake_platform/gateway.cpp
+++ b/test/fakes/fake_platform/gateway.cpp
@@ -70,11 +70,18 @@
                                                       {"unavailable", mode::unavailable},
                                                       {"slow", mode::slow},
                                                       {"lose_reply", mode::lose_reply},
-                                                      {"drop_request", mode::drop_request}};
+                                                      {"drop_request", mode::drop_request},
+                                                      {"hold_reply", mode::hold_reply}};
     const auto found = names.find(name);
     return found == names.end() ? std::nullopt : std::optional{found->second};
 }
 
+void gateway::stop() {
+    const std::lock_guard lock{mutex_};
+    is_stopping_ = true;
+    released_.notify_all();
+}
+
 void gateway::handle(http::exchange& call) {
     const std::string& path = call.request().path;
     if (path.rfind("/control", 0) == 0) {
@@ -108,6 +115,8 @@
     const std::lock_guard lock{mutex_};
     if (asked.contains("mode")) {
         mode_ = *chosen;
+        ++releases_;
+        released_.notify_all();
         mode_count_ = asked.value("count", -1);
         delay_ = std::chrono::milliseconds{asked.value("delay_ms", 0)};
     }
@@ -120,9 +129,9 @@
     call.respond(http::json_response(http::status_ok, "{}"));
 }
 
-mode gateway::take_mode() {
+mode gateway::take_mode(bool is_write) {
     const std::lock_guard lock{mutex_};
-    if (mode_count_ == 0) {
+    if (mode_count_ == 0 || (mode_ == mode::hold_reply && !is_write)) {
         return mode::none;
     }
     if (mode_count_ > 0) {
@@ -131,6 +140,14 @@
     return mode_;
 }
 
+void gateway::hold() {
+    std::unique_lock lock{mutex_};
+    const std::uint64_t releases = releases_;
+    ++held_replies_;
+    released_.wait(lock, [&] { return releases_ != releases || is_stopping_; });
+    --held_replies_;
+}
+
 void gateway::count(const std::string& path, bool is_write) {
     const std::lock_guard lock{mutex_};
     ++calls_by_path_[path];
@@ -146,13 +163,14 @@
     return {{"calls", calls},
             {"writes", writes_},
             {"open_watches", open_watches_},
+            {"held_replies", held_replies_},
             {"by_path", calls_by_path_}};
 }
 
 void gateway::handle_store(http::exchange& call, const json& asked) {
     const std::string path = call.request().path;
     count(path, is_write(path));
-    const mode met = take_mode();
+    const mode met = take_mode(is_write(path));
     if (met == mode::unavailable) {
         respond_error(call, http::status_unavailable, code_unavailable, "etcdserver: no leader");
         return;
@@ -174,6 +192,9 @@
         lose_answer(call);
         return;
     }
+    if (met == mode::hold_reply) {
+        hold();
+    }
     if (!outcome.reply) {
         respond_error(call, http::status_not_found, code_not_found,
                       "etcdserver: requested lease not found");
--- a/test/fakes/fake_platform/gateway.hpp
+++ b/test/fakes/fake_platform/gateway.hpp
@@ -5,6 +5,7 @@
 #include "test/support/memory_store.hpp"
 
 #include <atomic>
+#include <condition_variable>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
@@ -14,7 +15,7 @@
 namespace cicadahatch::fake_platform {
 
 /// \brief What the fake does with requests to the key-value service until told otherwise.
-enum class mode { none, unavailable, slow, lose_reply, drop_request };
+enum class mode { none, unavailable, slow, lose_reply, drop_request, hold_reply };
 
 /// \returns the mode of that name, or nothing
 [[nodiscard]] std::optional<mode> parse_mode(const std::string& name);
@@ -28,7 +29,7 @@
     void handle(http::exchange& call);
 
     /// \brief Ends the open watches.
-    void stop() { is_stopping_ = true; }
+    void stop();
 
 private:
     struct write_outcome {
@@ -43,7 +44,9 @@
     [[nodiscard]] write_outcome apply(const std::string& path, const nlohmann::json& asked);
     [[nodiscard]] write_outcome apply_txn(const nlohmann::json& asked);
     [[nodiscard]] nlohmann::json counters();
-    [[nodiscard]] mode take_mode();
+    [[nodiscard]] mode take_mode(bool is_write);
+    /// Holds back the reply of a write that has taken effect, until the mode is set anew.
+    void hold();
     void count(const std::string& path, bool is_write);
 
     system_clock time_;
@@ -53,6 +56,9 @@
     mode mode_ = mode::none;
     int mode_count_ = -1; ///< requests that still meet the mode; negative: all
     std::chrono::milliseconds delay_{0};
+    std::condition_variable released_;
+    std::uint64_t releases_ = 0;
+    std::uint64_t held_replies_ = 0;
     nlohmann::json vms_ = nlohmann::json::array();
     std::map<std::string, std::uint64_t> calls_by_path_;
     std::uint64_t writes_ = 0;
--- a/test/support/backend_control.cpp
+++ b/test/support/backend_control.cpp
@@ -52,6 +52,11 @@
     post(platform, "/control", asked.dump());
 }
 
+std::size_t held_replies(const http::endpoint& platform) {
+    const json counters = json::parse(fetch(platform, "/control/counters"), nullptr, false);
+    return counters.is_object() ? counters["held_replies"].get<std::size_t>() : 0;
+}
+
 std::string text_field(const std::string& json_text, const std::string& name) {
     const json content = json::parse(json_text, nullptr, false);
     return content.is_object() ? content.value(name, "") : std::string{};
--- a/test/support/backend_control.hpp
+++ b/test/support/backend_control.hpp
@@ -27,11 +27,14 @@
 [[nodiscard]] std::size_t transfers_at(const http::endpoint& backend);
 
 /// \brief Tells the stand-in for the platform how to treat requests.
-/// \param mode none, unavailable, slow, lose_reply or drop_request
+/// \param mode none, unavailable, slow, lose_reply, drop_request or hold_reply
 /// \param count requests that meet the mode; negative: all
 void set_platform_mode(const http::endpoint& platform, const std::string& mode, int count = -1,
                        std::chrono::milliseconds delay = {});
 
+/// \returns the number of replies that the stand-in for the platform holds back
+[[nodiscard]] std::size_t held_replies(const http::endpoint& platform);
+
 /// \returns a field of a JSON object; empty if it is not there
 [[nodiscard]] std::string text_field(const std::string& json_text, const std::string& name);
 
--- a/test/support/cluster.cpp
+++ b/test/support/cluster.cpp
@@ -39,10 +39,14 @@
     return "plain";
 }
 
-std::string listener(int threads) {
-    return R"({ "address": "127.0.0.1:0", "threads": )" + std::to_string(threads) + " }";
+std::string listener(const std::string& address, int threads) {
+    return R"({ "address": ")" + address + R"(", "threads": )" + std::to_string(threads) + " }";
 }
 
+/// Any free port for each listener.
+const std::map<std::string, std::string> any_places = {
+    {"callers", "127.0.0.1:0"}, {"admin", "127.0.0.1:0"}, {"peers", "127.0.0.1:0"}};
+
 std::string quoted(const http::endpoint& place) {
     return '"' + to_string(place) + '"';
 }
@@ -74,30 +78,84 @@
     backends_.at(name) = process{started_.at(name).arguments, scratch_dir_ + "/" + name + ".log"};
 }
 
-void cluster::start_daemon(const std::string& name, const std::string& domain,
-                           const std::string& overrides) {
-    std::string peers;
+std::string cluster::seeds_for(const std::string& name) const {
+    std::string seeds;
     for (const auto& [other, running] : daemons_) {
-        if (running.id() > 0) {
-            peers += (peers.empty() ? "" : ", ") + quoted(running.place("peers"));
+        if (other == name || running.id() <= 0) {
+            continue;
         }
+        const std::string& advertised = described_.at(other).advertised;
+        const std::string place =
+            advertised.empty() ? to_string(running.place("peers")) : advertised;
+        seeds += (seeds.empty() ? "\"" : ", \"") + place + '"';
+    }
+    return seeds;
+}
+
+void cluster::start_daemon(const std::string& name, const std::string& domain,
+                           const std::string& overrides) {
+    described_[name] = {domain, overrides, platform_.place(), {}, seeds_for(name)};
+    run_daemon(name, any_places);
+}
+
+void cluster::restart_daemon(const std::string& name) {
+    std::map<std::string, std::string> places;
+    for (const auto& [listener, any] : any_places) {
+        places[listener] = to_string(daemon(name).place(listener));
     }
+    daemon(name).kill();
+    run_daemon(name, places);
+}
+
+void cluster::run_daemon(const std::string& name,
+                         const std::map<std::string, std::string>& places) {
+    const started_daemon& described = described_.at(name);
     const std::string path = scratch_dir_ + "/" + name + ".settings.json";
     std::ofstream file{path};
     file << "{\n  // Settings of a test's daemon.\n";
-    file << "  \"name\": \"" << name << "\",\n  \"domain\": \"" << domain << "\",\n";
-    file << "  \"callers\": " << listener(256) << ",\n  \"admin\": " << listener(8)
-         << ",\n  \"peers\": " << listener(32) << ",\n";
+    file << "  \"name\": \"" << name << "\",\n  \"domain\": \"" << described.domain << "\",\n";
+    file << "  \"callers\": " << listener(places.at("callers"), 256) << ",\n";
+    file << "  \"admin\": " << listener(places.at("admin"), 8) << ",\n";
+    file << "  \"peers\": " << listener(places.at("peers"), 32) << ",\n";
+    file << "  \"advertised_peers\": \"" << described.advertised << "\",\n";
     file << "  \"peer_secret\": \"secret-of-the-tests\",\n";
-    file << overrides;
-    file << "  \"platform_endpoints\": [" << quoted(platform_.place()) << "],\n";
-    file << "  \"seed_peers\": [" << peers << "]\n}\n";
+    file << described.overrides;
+    file << "  \"platform_endpoints\": [" << quoted(described.platform) << "],\n";
+    file << "  \"seed_peers\": [" << described.seeds << "]\n}\n";
     file.close();
     process started{{binary_dir() + "/programs/cicadahatchd", "--settings", path},
                     scratch_dir_ + "/" + name + ".log"};
     daemons_.insert_or_assign(name, std::move(started));
 }
 
+process& cluster::start_relay(const std::string& name) {
+    process started{{binary_dir() + "/test/fake_relay"}, scratch_dir_ + "/" + name + ".log"};
+    return relays_.insert_or_assign(name, std::move(started)).first->second;
+}
+
+void cluster::start_relayed_daemon(const std::string& name, const std::string& domain) {
+    const process& to_platform = start_relay(name + "-platform");
+    post(to_platform.place("control"), "/control",
+         json{{"target", to_string(platform_.place())}}.dump());
+    const process& to_peers = start_relay(name + "-peers");
+    described_[name] = {domain,
+                        {},
+                        to_platform.place("relay"),
+                        to_string(to_peers.place("relay")),
+                        seeds_for(name)};
+    run_daemon(name, any_places);
+    post(to_peers.place("control"), "/control",
+         json{{"target", to_string(daemon(name).place("peers"))}}.dump());
+}
+
+void cluster::cut_peers(const std::string& name, bool is_cut) {
+    post(relays_.at(name + "-peers").place("control"), "/control", json{{"cut", is_cut}}.dump());
+}
+
+void cluster::cut_platform(const std::string& name, bool is_cut) {
+    post(relays_.at(name + "-platform").place("control"), "/control", json{{"cut", is_cut}}.dump());
+}
+
 void cluster::publish(settings::service described) {
     services_[described.name.str()] = std::move(described);
     publish_all();
--- a/test/support/cluster.hpp
+++ b/test/support/cluster.hpp
@@ -43,6 +43,17 @@
     void start_daemon(const std::string& name, const std::string& domain,
                       const std::string& overrides = {});
 
+    /// \brief Starts a daemon again at the addresses that it had, with the settings that it had.
+    void restart_daemon(const std::string& name);
+
+    /// \brief Starts a daemon that the others reach through a relay, and that reaches the platform
+    /// through another.
+    void start_relayed_daemon(const std::string& name, const std::string& domain);
+    /// \brief Lets nothing pass from the other daemons to a relayed one, or all again.
+    void cut_peers(const std::string& name, bool is_cut);
+    /// \brief Lets nothing pass between a relayed daemon and the platform, or all again.
+    void cut_platform(const std::string& name, bool is_cut);
+
     /// \brief Publishes a service with the backend servers started for it.
     void publish(settings::service described);
     /// \brief Publishes the services again with what has been started since.
@@ -64,8 +75,23 @@
         std::vector<std::string> arguments;
     };
 
+    struct started_daemon {
+        std::string domain;
+        std::string overrides;
+        http::endpoint platform;
+        std::string advertised; ///< empty: where it listens
+        std::string seeds;
+    };
+
+    /// \param places of the listeners; port 0 picks a free one
+    void run_daemon(const std::string& name, const std::map<std::string, std::string>& places);
+    [[nodiscard]] std::string seeds_for(const std::string& name) const;
+    [[nodiscard]] process& start_relay(const std::string& name);
+
     std::string scratch_dir_;
     process platform_;
+    std::map<std::string, process> relays_;
+    std::map<std::string, started_daemon> described_;
     std::map<std::string, process> backends_;
     std::map<std::string, started_backend> started_;
     std::map<std::string, process> daemons_;
