--- a/src/serving/plain_handler.cpp
+++ b/src/serving/plain_handler.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <condition_variable>
+#include <glog/logging.h>
 #include <mutex>
 #include <optional>
 
@@ -230,6 +231,7 @@
     wanted.kept = running.service.at_most_once.kept;
     auto decision = claims_.begin(wanted);
     if (!decision) {
+        LOG_EVERY_N(WARNING, 20) << "claims: no claim: " << decision.error().message();
         // Without a claim nothing has been sent, whatever became of the claim itself.
         return tl::unexpected(not_run(errc::store_unavailable, retry_after_store));
     }
