Bound slow senders and keep reserved workers free of them

Cause: each open connection holds a worker. CivetWeb bounds the time for a head and for each piece of a body, but not for a whole body: a caller that sent one byte every 10 ms was still connected after 12 s. Enough slow or idle connections held every worker, so a booking waited behind them.

Ruled out: small reads with a look at the clock between them, as one read of n bytes lasts as long as n trickled bytes, and reads of one byte cost a poll and a receive each; closing the socket from outside, as the library doesn't give it out.

Change: a watch for each server knows what each worker waits for. It interrupts bodies later than `receive_timeout_ms`, answered 408 `body_late`, `not_run`; while fewer than `reserved_workers` are free it also ends the connections that have waited longest for a head or a body. The interrupt is a signal that makes the worker's blocking call return; the default for that signal is to ignore it, and a lost one is sent again 50 ms later. The admin listener keeps one worker free. Overload counts running handlers alone, as bodies that are arriving can be ended.

A first try asked only after a failed read whether the wait had been interrupted; an interrupted read gives the bytes that it has, so the loop went on. The process test showed it.

Also: TLS listeners take TLS 1.2 and later, and the authorities that the system trusts don't admit peers to a listener with `tls_peer_ca`.

--- a/src/http/constants.hpp
+++ b/src/http/constants.hpp
@@ -9,7 +9,7 @@
 /// Bodies larger than this are refused with 413 unless the server is built with another bound.
 inline constexpr std::size_t default_max_body_bytes = 4UL * 1024 * 1024;
 
-/// Time after which a server gives up on a request that is not arriving.
+/// Time in which the head of a request, and then its body, has to arrive at a server.
 inline constexpr std::chrono::milliseconds default_receive_timeout{10'000};
 
 /// Time for which a server keeps an idle connection.
@@ -24,6 +24,7 @@
 inline constexpr int status_forbidden = 403;
 inline constexpr int status_not_found = 404;
 inline constexpr int status_method_not_allowed = 405;
+inline constexpr int status_request_timeout = 408;
 inline constexpr int status_conflict = 409;
 inline constexpr int status_gone = 410;
 inline constexpr int status_too_large = 413;
--- a/src/http/error.cpp
+++ b/src/http/error.cpp
@@ -25,6 +25,8 @@
             return "body too large";
         case errc::body_truncated:
             return "body truncated";
+        case errc::body_late:
+            return "body late";
         case errc::header_too_large:
             return "line too long";
         case errc::server_not_started:
--- a/src/http/error.hpp
+++ b/src/http/error.hpp
@@ -13,6 +13,7 @@
     response_broken,   ///< the response ended early or was malformed
     body_too_large,    ///< the body exceeds the receiver's bound
     body_truncated,    ///< the sender closed before the announced length
+    body_late,         ///< the body did not arrive in the time allowed
     header_too_large,  ///< a response line exceeds the bound
     server_not_started ///< the listener could not be opened
 };
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,9 +1,11 @@
 #include "src/http/server.hpp"
 
 #include "src/core/macros.hpp"
+#include "src/core/system_clock.hpp"
 #include "src/http/client.hpp"
 #include "src/http/error.hpp"
 #include "src/http/internal/body.hpp"
+#include "src/http/internal/connection_watch.hpp"
 #include "src/http/internal/library.hpp"
 
 #include <array>
@@ -41,7 +43,7 @@
            find_header(head.headers, "Transfer-Encoding") != nullptr;
 }
 
-/// Counts a running handler for as long as it lives.
+/// Counts one more for as long as it lives.
 class active_guard {
 public:
     explicit active_guard(std::atomic<int>& count) : count_(count) { ++count_; }
@@ -55,10 +57,23 @@
     std::atomic<int>& count_;
 };
 
+int status_of(const std::error_code& error) {
+    if (error == errc::body_too_large) {
+        return status_too_large;
+    }
+    return error == errc::body_late ? status_request_timeout : status_bad_request;
+}
+
+std::string code_of(const std::error_code& error) {
+    if (error == errc::body_too_large) {
+        return "body_too_large";
+    }
+    return error == errc::body_late ? "body_late" : "body_truncated";
+}
+
 void refuse_body(exchange& refused, const std::error_code& error) {
-    const bool is_too_large = error == errc::body_too_large;
-    const int status = is_too_large ? status_too_large : status_bad_request;
-    const std::string code = is_too_large ? "body_too_large" : "body_truncated";
+    const int status = status_of(error);
+    const std::string code = code_of(error);
     response answer =
         json_response(status, R"({"title":")" + code + R"(","code":")" + code + R"(","status":)" +
                                   std::to_string(status) + R"(,"execution":"not_run"})");
@@ -67,8 +82,49 @@
     refused.respond(answer);
 }
 
+internal::connection_watch& watch_of(const mg_connection* connection) {
+    return *static_cast<internal::connection_watch*>(mg_get_user_data(mg_get_context(connection)));
+}
+
+int on_open(const mg_connection* connection, void** user_data) {
+    static_cast<void>(user_data);
+    watch_of(connection).open(connection);
+    return 0;
+}
+
+int on_head(mg_connection* connection) {
+    constexpr int go_on = 0;
+    watch_of(connection).enter(connection, internal::connection_phase::running);
+    return go_on;
+}
+
+void on_answered(const mg_connection* connection, int status) {
+    static_cast<void>(status);
+    watch_of(connection).enter(connection, internal::connection_phase::head);
+}
+
+void on_close(const mg_connection* connection) {
+    watch_of(connection).close(connection);
+}
+
+mg_callbacks watch_callbacks() {
+    mg_callbacks callbacks{};
+    callbacks.init_connection = on_open;
+    callbacks.begin_request = on_head;
+    callbacks.end_request = on_answered;
+    callbacks.connection_close = on_close;
+    return callbacks;
+}
+
+const clock& default_clock() {
+    static const system_clock instance;
+    return instance;
+}
+
 } // namespace
 
+server::server() = default;
+
 server::~server() {
     if (context_ == nullptr) {
         return;
@@ -86,25 +142,39 @@
 int server::dispatch(mg_connection* connection, void* self) {
     auto& owner = *static_cast<server*>(self);
     const active_guard guard{owner.active_};
-    const mg_request_info& info = *mg_get_request_info(connection);
-    const bool is_http_1_1 = std::strcmp(info.http_version, "1.1") == 0;
-    request received = copy_head(info);
+    owner.answer(connection, copy_head(*mg_get_request_info(connection)));
+    return status_ok;
+}
+
+void server::answer(mg_connection* connection, request received) {
+    const char* version = mg_get_request_info(connection)->http_version;
+    const bool is_http_1_1 = std::strcmp(version, "1.1") == 0;
     if (has_body(received)) {
-        auto body = internal::read_body(connection, info.content_length, owner.max_body_bytes_);
+        auto body = receive_body(connection);
         if (!body) {
             exchange refused{connection, std::move(received), is_http_1_1};
             mg_disable_connection_keep_alive(connection);
-            refuse_body(refused, body.error());
-            return status_bad_request;
+            return refuse_body(refused, body.error());
         }
         received.body = std::move(*body);
     }
+    const active_guard guard{running_};
     exchange running{connection, std::move(received), is_http_1_1};
-    owner.handler_(running);
+    handler_(running);
     CICADAHATCH_ASSERT(running.has_begun(), handler_answers_every_request);
-    return status_ok;
 }
 
+result<std::string> server::receive_body(mg_connection* connection) {
+    const long long announced = mg_get_request_info(connection)->content_length;
+    watch_->enter(connection, internal::connection_phase::body);
+    auto body = internal::read_body(connection, announced, max_body_bytes_,
+                                    [&] { return watch_->is_late(connection); });
+    watch_->enter(connection, internal::connection_phase::running);
+    return body;
+}
+
+server_builder::server_builder() : time_(&default_clock()) {}
+
 server_builder& server_builder::listen_on(endpoint place) {
     place_ = std::move(place);
     return *this;
@@ -130,6 +200,16 @@
     return *this;
 }
 
+server_builder& server_builder::reserved_workers(int count) {
+    reserved_workers_ = count;
+    return *this;
+}
+
+server_builder& server_builder::time(const clock& source) {
+    time_ = &source;
+    return *this;
+}
+
 server_builder& server_builder::keep_alive(std::chrono::milliseconds timeout) {
     keep_alive_ = timeout;
     return *this;
@@ -153,19 +233,23 @@
         "tcp_nodelay",       "1",          "request_timeout_ms",    timeout.c_str(),
         "enable_keep_alive", "yes",        "keep_alive_timeout_ms", kept.c_str()};
     if (is_tls) {
-        options.insert(options.end(), {"ssl_certificate", tls_.certificate.c_str()});
+        options.insert(options.end(), {"ssl_certificate", tls_.certificate.c_str(),
+                                       "ssl_protocol_version", internal::tls_1_2_or_later});
     }
     if (is_tls && !tls_.peer_ca.empty()) {
         options.insert(options.end(),
-                       {"ssl_verify_peer", "yes", "ssl_ca_file", tls_.peer_ca.c_str()});
+                       {"ssl_verify_peer", "yes", "ssl_ca_file", tls_.peer_ca.c_str(),
+                        "ssl_default_verify_paths", internal::no_system_authorities});
     }
     options.push_back(nullptr);
     std::unique_ptr<server> built{new server};
     built->handler_ = handler_;
     built->max_body_bytes_ = max_body_bytes_;
     built->threads_ = threads_;
-    const mg_callbacks callbacks{};
-    built->context_ = mg_start(&callbacks, nullptr, options.data());
+    const internal::connection_limits limits{receive_timeout_, threads_, reserved_workers_};
+    built->watch_ = std::make_unique<internal::connection_watch>(limits, *time_);
+    const mg_callbacks callbacks = watch_callbacks();
+    built->context_ = mg_start(&callbacks, built->watch_.get(), options.data());
     if (built->context_ == nullptr) {
         return failure(errc::server_not_started);
     }
--- a/src/serving/daemon.cpp
+++ b/src/serving/daemon.cpp
@@ -29,6 +29,9 @@
 constexpr milliseconds vm_list_period{1000};
 constexpr milliseconds shutdown_look_period{20};
 
+/// Workers of the admin listener that slow senders can't hold.
+constexpr int admin_reserved_workers = 1;
+
 /// What the platform takes from all daemons together.
 constexpr double platform_reads_per_second = 2000;
 constexpr double platform_writes_per_second = 300;
@@ -89,7 +92,9 @@
 }
 
 result<std::unique_ptr<http::server>> listen(const settings::listener& described,
-                                             std::uint64_t max_body, http::handler handler) {
+                                             const settings::daemon_settings& configured,
+                                             int reserved_workers, const clock& time,
+                                             http::handler handler) {
     const auto place = http::parse_endpoint(described.address);
     if (!place) {
         return tl::unexpected(place.error());
@@ -97,7 +102,10 @@
     return http::server_builder{}
         .listen_on(*place)
         .threads(described.threads)
-        .max_body_bytes(max_body)
+        .reserved_workers(reserved_workers)
+        .time(time)
+        .receive_timeout(configured.receive_timeout)
+        .max_body_bytes(configured.max_body_bytes)
         .tls({described.tls_certificate, described.tls_peer_ca})
         .handle_with(std::move(handler))
         .build();
@@ -149,19 +157,19 @@
                                                                  naming_, recorder_, retries_});
     plain_ = std::make_unique<plain_handler>(*context_, *claims_);
     caller_handler_ = std::make_unique<caller_handler>(
-        *context_, *plain_, drain_, [this] { return callers_->capacity() - callers_->active(); });
+        *context_, *plain_, drain_, [this] { return callers_->capacity() - callers_->running(); });
     admin_handler_ = std::make_unique<admin_handler>(*context_, *caller_handler_, drain_, *network_,
                                                      values_, make_actions());
     if (auto started = network_->start(configured_, started_, time_); !started) {
         return started;
     }
-    auto admin = listen(configured_.admin, configured_.max_body_bytes,
+    auto admin = listen(configured_.admin, configured_, admin_reserved_workers, time_,
                         [this](http::exchange& call) { admin_handler_->handle(call); });
     if (!admin) {
         return tl::unexpected(admin.error());
     }
     admin_ = std::move(*admin);
-    auto callers = listen(configured_.callers, configured_.max_body_bytes,
+    auto callers = listen(configured_.callers, configured_, configured_.reserved_workers, time_,
                           [this](http::exchange& call) { caller_handler_->handle(call); });
     if (!callers) {
         return tl::unexpected(callers.error());
--- a/src/settings/daemon_settings.hpp
+++ b/src/settings/daemon_settings.hpp
@@ -41,9 +41,10 @@
     std::uint64_t max_body_bytes = 1048576;
     int reserved_workers = 8; ///< callers' workers kept for refusals and at-most-once requests
     bool sends_interim_responses = true; ///< "102 Processing" shows when a waiting caller leaves
-    std::chrono::milliseconds shutdown_bound{30'000}; ///< longest graceful shutdown
-    std::chrono::milliseconds stall_timeout{2'000};   ///< stream silence after which it is resumed
-    std::chrono::milliseconds kv_retention{800};      ///< how long an engine keeps a prefill
+    std::chrono::milliseconds receive_timeout{10'000}; ///< for a request's head, and for its body
+    std::chrono::milliseconds shutdown_bound{30'000};  ///< longest graceful shutdown
+    std::chrono::milliseconds stall_timeout{2'000};    ///< stream silence after which it is resumed
+    std::chrono::milliseconds kv_retention{800};       ///< how long an engine keeps a prefill
     std::uint32_t max_engines_per_cell = 32;
     policy_weights weights;
     std::string log_directory; ///< empty: standard error
--- a/src/settings/internal/daemon_fields.cpp
+++ b/src/settings/internal/daemon_fields.cpp
@@ -94,9 +94,12 @@
                    "largest accepted body of a caller's request"),
         make_field("reserved_workers", &daemon_settings::reserved_workers, integer(1, most_threads),
                    "callers' workers kept for refusals and at-most-once requests; below "
-                   "`callers.threads`"),
+                   "`callers.threads`; slow senders are closed to keep them free"),
         make_field("sends_interim_responses", &daemon_settings::sends_interim_responses, boolean(),
                    "send `102 Processing` to a waiting caller, which shows when it has left"),
+        make_field("receive_timeout_ms", &daemon_settings::receive_timeout,
+                   time<std::chrono::milliseconds>(100ms, 600s, "ms"),
+                   "longest time in which the head of a request, and then its body, has to arrive"),
         make_field("shutdown_bound_ms", &daemon_settings::shutdown_bound,
                    time<std::chrono::milliseconds>(100ms, 3600s, "ms"),
                    "longest graceful shutdown"),
--- a/test/serving/bad_input_process_test.cpp
+++ b/test/serving/bad_input_process_test.cpp
@@ -23,14 +23,15 @@
 struct bad_input_fixture {
     cluster running;
 
-    bad_input_fixture() {
+    explicit bad_input_fixture(const std::string& overrides = {}) {
         running.start_backend("pattern", "p1", backend_role::prefill, "a");
         running.start_backend("pattern", "d1", backend_role::decode, "a");
         running.start_backend("portal", "s1", backend_role::plain, "a");
         running.publish(model_service("pattern"));
         running.publish(plain_service("portal"));
         running.start_daemon("entry-1", "a",
-                             "  \"max_body_bytes\": " + std::to_string(max_body_bytes) + ",\n");
+                             "  \"max_body_bytes\": " + std::to_string(max_body_bytes) + ",\n" +
+                                 overrides);
         REQUIRE(running.wait_until_ready());
     }
 
@@ -63,6 +64,16 @@
     }
 };
 
+/// Slow senders are closed only to free their workers.
+struct patient_fixture : bad_input_fixture {
+    patient_fixture() : bad_input_fixture("  \"receive_timeout_ms\": 600000,\n") {}
+};
+
+/// Slow senders are closed after a second.
+struct hasty_fixture : bad_input_fixture {
+    hasty_fixture() : bad_input_fixture("  \"receive_timeout_ms\": 1000,\n") {}
+};
+
 std::string post_of(const std::string& body, const std::string& path = "/v1/completions") {
     return "POST " + path + " HTTP/1.1\r\nHost: x\r\nPrefer: no-interim\r\nContent-Length: " +
            std::to_string(body.size()) + "\r\nConnection: close\r\n\r\n" + body;
@@ -175,20 +186,56 @@
     check_sound();
 }
 
-TEST_CASE_FIXTURE(bad_input_fixture, "senders, slow in head and body, hold up no other caller") {
+TEST_CASE_FIXTURE(patient_fixture, "senders, slow and more than workers, hold up no other caller") {
+    constexpr std::size_t callers_workers = 256;
+    constexpr std::size_t admin_workers = 8;
+    const long before = log_lines();
     std::vector<std::unique_ptr<raw_caller>> slow;
-    const std::string whole = post_of(completion_of(5));
-    for (std::size_t count = 0; count < 60; ++count) {
-        slow.push_back(std::make_unique<raw_caller>(callers()));
-        CHECK(slow.back()->send(whole.substr(0, 5 + count * 3)));
+    const auto add = [&](const http::endpoint& place, std::size_t sent) {
+        slow.push_back(std::make_unique<raw_caller>(place));
+        CHECK(slow.back()->send(post_of(completion_of(5)).substr(0, sent)));
+    };
+    for (std::size_t count = 0; count < callers_workers + 4; ++count) {
+        add(callers(), 5 + count % 150);
+    }
+    for (std::size_t count = 0; count < admin_workers + 4; ++count) {
+        add(running.admin("entry-1"), 5 + count * 10);
     }
+    const auto booked = book(callers(), "/services/portal/orders/1", "key-1", "steel rule die");
+    REQUIRE(booked);
+    CHECK(booked->status == http::status_ok);
+    CHECK(running.runs("portal").size() == 1);
     const auto answer = stream_completion(callers(), "pattern", "a quick one", 3);
     CHECK(answer.text == expected_text("a quick one", 3));
     CHECK(eventually([&] { return holds_nothing(); }));
+    CHECK(log_lines() - before < max_log_lines);
     slow.clear();
     check_sound();
 }
 
+TEST_CASE_FIXTURE(hasty_fixture, "body, late, is refused as not run") {
+    const std::string order = post_of("steel rule die", "/services/portal/orders/1");
+    const raw_caller silent{callers()};
+    CHECK(silent.send(order.substr(0, order.size() - 3)));
+    const std::string answer = silent.receive_until("not_run");
+    CHECK(status_of(answer) == http::status_request_timeout);
+    CHECK(answer.find("body_late") != std::string::npos);
+    CHECK(running.runs("portal").empty());
+    check_sound();
+}
+
+TEST_CASE_FIXTURE(hasty_fixture, "senders, never silent and never done, are closed") {
+    const std::string body(max_body_bytes, 'a');
+    const std::string whole = post_of(body);
+    const std::size_t body_begins = whole.size() - body.size();
+    for (const std::size_t sent : {std::size_t{30}, body_begins + 1}) {
+        const raw_caller caller{callers()};
+        CHECK(caller.send(whole.substr(0, sent)));
+        CHECK(eventually([&] { return !caller.send("a"); }));
+    }
+    check_sound();
+}
+
 TEST_CASE_FIXTURE(bad_input_fixture, "sender, one byte at a time, is answered") {
     const raw_caller caller{callers()};
     for (const char next : post_of(completion_of(3))) {
