Count for an objective only what the system answers for

Cause: the burn report took a repeat's 409 `in_progress` for a failure, and so a caller's own faults (`key_required`, `key_reused`). Refusals for overload were not recorded at all, so a flood looked better than it was.

Change: the rule is `is_callers_doing(errc)`, over every code: wrong requests, and repeats of an at-most-once request, whose first try alone counts. These end as `rejected`, which is listed by reason but counts for no objective.

--- a/src/metrics/request_observation.hpp
+++ b/src/metrics/request_observation.hpp
@@ -15,16 +15,22 @@
     completed, ///< answered whole
     refused,   ///< refused; reason says why
     failed,    ///< began and could not be completed
-    canceled   ///< the caller left; counts for no objective
+    canceled,  ///< the caller left; counts for no objective
+    rejected   ///< the caller's own doing; counts for no objective; reason says why
 };
 
+/// \returns whether a request that ended so counts for its service's objective
+[[nodiscard]] constexpr bool counts_for_objective(request_outcome ended) noexcept {
+    return ended != request_outcome::canceled && ended != request_outcome::rejected;
+}
+
 /// \brief One request, recorded when it has ended.
 struct request_observation {
     service_id service;
     team_id team;
     rank work_rank = rank::deferrable;
     request_outcome outcome = request_outcome::completed;
-    refusal_reason reason;      ///< refused requests only
+    refusal_reason reason;      ///< refused and rejected requests only
     duration first_token{0};    ///< time to the first token; plain services: to the whole answer
     duration between_tokens{0}; ///< 95th percentile of the request's times between tokens, or its
                                 ///< largest; zero for plain services and one-token answers
--- a/src/metrics/request_recorder.cpp
+++ b/src/metrics/request_recorder.cpp
@@ -20,6 +20,7 @@
         ++totals.completed;
         break;
     case request_outcome::refused:
+    case request_outcome::rejected:
         count_refusal(totals, seen.reason);
         break;
     case request_outcome::failed:
@@ -32,7 +33,7 @@
     totals.prefill_tokens += seen.prefill_tokens;
     totals.wasted_prefill_tokens += seen.wasted_prefill_tokens;
     totals.output_tokens += seen.output_tokens;
-    if (seen.outcome != request_outcome::canceled) {
+    if (counts_for_objective(seen.outcome)) {
         ++totals.since_start.requests;
         totals.since_start.good += is_good(seen) ? 1 : 0;
     }
@@ -69,7 +70,7 @@
     if (seen.outcome == request_outcome::completed && seen.between_tokens > duration{0}) {
         into.between_tokens.record(seen.between_tokens);
     }
-    if (seen.outcome != request_outcome::canceled) {
+    if (counts_for_objective(seen.outcome)) {
         into.window.record(time_.now(), is_good(seen));
     }
     const std::lock_guard lock{into.mutex};
--- a/src/serving/caller_handler.cpp
+++ b/src/serving/caller_handler.cpp
@@ -84,9 +84,6 @@
     if (call.request().method != "POST") {
         return refuse(call, request, not_run(errc::method_not_allowed));
     }
-    if (is_overloaded()) {
-        return refuse(call, request, not_run(errc::overloaded, retry_after_overload));
-    }
     auto asked = parse_completion(call.request().body);
     if (!asked) {
         return refuse(call, request, asked.error());
@@ -100,6 +97,9 @@
         return refuse(call, request, *fault);
     }
     completion_session session{shared_, call, request, std::move(*service), std::move(*asked)};
+    if (is_overloaded()) {
+        return session.refuse(not_run(errc::overloaded, retry_after_overload));
+    }
     session.run();
 }
 
--- a/src/serving/completion_session.hpp
+++ b/src/serving/completion_session.hpp
@@ -27,6 +27,9 @@
     /// \brief Answers the caller, or notes that it has gone.
     void run();
 
+    /// \brief Answers the caller with a refusal, in place of run().
+    void refuse(const problem& refusal);
+
 private:
     /// How one attempt ended.
     enum class attempt_end : std::uint8_t { complete, caller_gone, failed };
--- a/src/serving/error.cpp
+++ b/src/serving/error.cpp
@@ -80,4 +80,36 @@
     return {static_cast<int>(code), serving_category()};
 }
 
+bool is_callers_doing(errc code) noexcept {
+    switch (code) {
+    case errc::bad_json:
+    case errc::bad_utf8:
+    case errc::bad_field:
+    case errc::bad_header:
+    case errc::unknown_service:
+    case errc::unknown_path:
+    case errc::method_not_allowed:
+    case errc::prompt_too_long:
+    case errc::output_too_long:
+    case errc::key_required:
+    case errc::key_reused:
+    case errc::key_expired:
+    case errc::already_completed:
+    case errc::in_progress:
+    case errc::outcome_unknown:
+    case errc::unauthorized:
+    case errc::caller_gone:
+        return true;
+    case errc::overloaded:
+    case errc::deadline_unreachable:
+    case errc::no_backend:
+    case errc::not_ready:
+    case errc::shutting_down:
+    case errc::backend_failed:
+    case errc::store_unavailable:
+        return false;
+    }
+    return false;
+}
+
 } // namespace cicadahatch::serving
--- a/src/serving/error.hpp
+++ b/src/serving/error.hpp
@@ -35,6 +35,10 @@
 [[nodiscard]] const std::error_category& serving_category() noexcept;
 [[nodiscard]] std::error_code make_error_code(errc code) noexcept;
 
+/// \returns whether the caller got no answer by its own doing: its request was wrong, or it
+/// repeated an at-most-once request, whose first try alone counts
+[[nodiscard]] bool is_callers_doing(errc code) noexcept;
+
 } // namespace cicadahatch::serving
 
 template <>
--- a/src/serving/plain_handler.cpp
+++ b/src/serving/plain_handler.cpp
@@ -131,7 +131,9 @@
 void plain_handler::handle(http::exchange& call, const request_id& request, bool is_overloaded) {
     auto prepared = prepare(call.request(), request);
     if (prepared && is_overloaded && !(*prepared)->is_at_most_once) {
-        prepared = tl::unexpected(not_run(errc::overloaded, retry_after_overload));
+        const problem refusal = not_run(errc::overloaded, retry_after_overload);
+        record(**prepared, tl::unexpected(refusal));
+        prepared = tl::unexpected(refusal);
     }
     if (!prepared) {
         call.respond(to_response(prepared.error(), echoed_id(call.request(), request)));
@@ -276,9 +278,7 @@
     if (ended.is_caller_gone) {
         seen.outcome = metrics::request_outcome::canceled;
     } else if (!answer) {
-        const bool is_refused = answer.error().ran != execution::unknown;
-        seen.outcome =
-            is_refused ? metrics::request_outcome::refused : metrics::request_outcome::failed;
+        seen.outcome = outcome_of(answer.error());
         seen.reason = metrics::refusal_reason{std::error_code(answer.error().code).message()};
     }
     shared_.recorder.record(seen);
--- a/src/serving/problem.cpp
+++ b/src/serving/problem.cpp
@@ -67,6 +67,14 @@
     return http::status_internal_error;
 }
 
+metrics::request_outcome outcome_of(const problem& refusal) {
+    if (is_callers_doing(refusal.code)) {
+        return metrics::request_outcome::rejected;
+    }
+    return refusal.ran == execution::not_run ? metrics::request_outcome::refused
+                                             : metrics::request_outcome::failed;
+}
+
 std::string to_json(const problem& refusal, const request_id& request) {
     const std::string code = std::error_code(refusal.code).message();
     json content{{"type", "urn:cicadahatch:problem:" + code},
--- a/src/serving/problem.hpp
+++ b/src/serving/problem.hpp
@@ -2,6 +2,7 @@
 
 #include "src/core/identifiers.hpp"
 #include "src/http/message.hpp"
+#include "src/metrics/request_observation.hpp"
 #include "src/serving/error.hpp"
 
 #include <chrono>
@@ -20,6 +21,9 @@
 /// \returns the HTTP status that goes with the problem's code
 [[nodiscard]] int status_of(const problem& refusal);
 
+/// \returns how a request that was answered with the problem counts for its objective
+[[nodiscard]] metrics::request_outcome outcome_of(const problem& refusal);
+
 /// \returns the problem as a JSON document
 [[nodiscard]] std::string to_json(const problem& refusal, const request_id& request);
 
--- a/test/metrics/burn_report_test.cpp
+++ b/test/metrics/burn_report_test.cpp
@@ -85,6 +85,15 @@
     CHECK(line.wasted_prefill == doctest::Approx(0.25));
 }
 
+TEST_CASE_FIXTURE(recorder_fixture, "burn_report, rejected requests, listed but not counted") {
+    metrics::request_observation seen = refused("in_progress");
+    seen.outcome = metrics::request_outcome::rejected;
+    recorder.record(seen);
+    const metrics::burn_line line = report(recorder.take_snapshot()).lines.at(0);
+    CHECK(line.long_window.counted.requests == 0);
+    CHECK(line.refused.at(metrics::refusal_reason{"in_progress"}) == 1);
+}
+
 TEST_CASE_FIXTURE(recorder_fixture, "snapshot, two daemons merged in either order, same sums") {
     record(recorder, answered(100ms, 20ms), 5);
     record(other, answered(300ms, 20ms), 7);
--- a/test/serving/problem_test.cpp
+++ b/test/serving/problem_test.cpp
@@ -70,3 +70,19 @@
     const problem refusal{errc::bad_field, execution::not_run, {}, "\xff"};
     CHECK(json::accept(serving::to_json(refusal, request_id{"r"})));
 }
+
+TEST_CASE("problem, each cause, counts for the objective unless it is the caller's doing") {
+    using metrics::request_outcome;
+    const auto outcome = [](errc code, execution ran) {
+        return serving::outcome_of({code, ran, {}, {}});
+    };
+    CHECK(outcome(errc::bad_field, execution::not_run) == request_outcome::rejected);
+    CHECK(outcome(errc::key_reused, execution::not_run) == request_outcome::rejected);
+    CHECK(outcome(errc::in_progress, execution::unknown) == request_outcome::rejected);
+    CHECK(outcome(errc::already_completed, execution::completed) == request_outcome::rejected);
+    CHECK(outcome(errc::outcome_unknown, execution::unknown) == request_outcome::rejected);
+    CHECK(outcome(errc::overloaded, execution::not_run) == request_outcome::refused);
+    CHECK(outcome(errc::store_unavailable, execution::not_run) == request_outcome::refused);
+    CHECK(outcome(errc::backend_failed, execution::not_run) == request_outcome::refused);
+    CHECK(outcome(errc::backend_failed, execution::unknown) == request_outcome::failed);
+}
