Fetch the engines' cached prefixes for the cells of a home

Cause: the daemon never asked for GET /v1/cache_events, so prefix affinity knew the cells' own grants only.

A load report newer than the content drops the view until the next one.

Proof: cache_ingest (3 cases); prefix_affinity with real processes: two engines primed past the daemon each get the request with their prefix at less than half of its prefill tokens (run 4 times, passed 4 times).

Found and not mended: a cell counts 256 tokens a prefix hash, the daemon's hashes cover 256 bytes; see docs/design/scheduling.md, Not done.

--- a/src/engines/calls.cpp
+++ b/src/engines/calls.cpp
@@ -82,4 +82,21 @@
     return to_report(*content);
 }
 
+result<cache_content> fetch_cache(http::client_pool& pool, const http::endpoint& place) {
+    const http::request sent{"GET", "/v1/cache_events", "", {}, ""};
+    const auto answer = pool.call(place, sent, control_timeout, max_cache_answer_bytes);
+    const auto content = internal::object_of(answer);
+    if (!content) {
+        return tl::unexpected(content.error());
+    }
+    cache_content held;
+    held.sequence = field(*content, "sequence", std::uint64_t{0});
+    held.prefix_hashes = field(*content, "prefix_hashes", std::vector<std::uint64_t>{});
+    // Each prefix was stored by a change of its own.
+    if (held.prefix_hashes.size() > held.sequence) {
+        return failure(errc::bad_answer);
+    }
+    return held;
+}
+
 } // namespace cicadahatch::engines
--- a/src/engines/calls.hpp
+++ b/src/engines/calls.hpp
@@ -22,4 +22,9 @@
 /// \brief Asks a backend server for its load.
 [[nodiscard]] result<load_report> fetch_load(http::client_pool& pool, const http::endpoint& place);
 
+/// \brief Asks an engine which prompt prefixes it holds.
+/// \returns the whole content; an error if it is longer than max_cache_answer_bytes
+[[nodiscard]] result<cache_content> fetch_cache(http::client_pool& pool,
+                                                const http::endpoint& place);
+
 } // namespace cicadahatch::engines
--- a/src/engines/constants.hpp
+++ b/src/engines/constants.hpp
@@ -17,6 +17,9 @@
 /// Longest wait for the answer to a control call.
 inline constexpr std::chrono::milliseconds control_timeout{1'000};
 
+/// Longest answer to a call for the cached prefixes.
+inline constexpr std::size_t max_cache_answer_bytes = 256UL * 1024;
+
 /// Time between two tries of a cancel.
 inline constexpr std::chrono::milliseconds cancel_retry_period{200};
 
--- a/src/engines/messages.hpp
+++ b/src/engines/messages.hpp
@@ -65,4 +65,10 @@
     std::vector<model_id> models;
 };
 
+/// \brief The prompt prefixes that an engine holds.
+struct cache_content {
+    std::uint64_t sequence = 0; ///< number of changes up to this content
+    std::vector<std::uint64_t> prefix_hashes;
+};
+
 } // namespace cicadahatch::engines
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr std::size_t error_text_bytes = 256;
-constexpr std::size_t max_response_bytes = 64UL * 1024 * 1024;
 
 std::string render(const request& sent, const std::string& host) {
     std::string text = sent.method + " " + sent.path;
@@ -100,13 +99,14 @@
     return copy_head(*mg_get_response_info(connection_.get()));
 }
 
-result<response> client_connection::call(const request& sent, std::chrono::milliseconds timeout) {
+result<response> client_connection::call(const request& sent, std::chrono::milliseconds timeout,
+                                         std::size_t max_body_bytes) {
     auto head = call_for_head(sent, timeout);
     if (!head) {
         return head;
     }
     const long long announced = mg_get_response_info(connection_.get())->content_length;
-    auto body = internal::read_body(connection_.get(), announced, max_response_bytes);
+    auto body = internal::read_body(connection_.get(), announced, max_body_bytes);
     if (!body) {
         return failure(errc::response_broken);
     }
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -39,7 +39,9 @@
     /// \brief Sends a request and reads the whole response.
     /// After a failure the connection must not be used again.
     /// \param timeout longest wait for the head of the response
-    [[nodiscard]] result<response> call(const request& sent, std::chrono::milliseconds timeout);
+    /// \param max_body_bytes a longer body is an error
+    [[nodiscard]] result<response> call(const request& sent, std::chrono::milliseconds timeout,
+                                        std::size_t max_body_bytes = max_response_bytes);
 
     /// \brief Sends a request and reads the head of the response; the body stays to be read.
     [[nodiscard]] result<response> call_for_head(const request& sent,
--- a/src/http/client_pool.cpp
+++ b/src/http/client_pool.cpp
@@ -5,26 +5,27 @@
 namespace cicadahatch::http {
 
 result<response> client_pool::call(const endpoint& place, const request& sent,
-                                   std::chrono::milliseconds timeout) {
+                                   std::chrono::milliseconds timeout, std::size_t max_body_bytes) {
     std::vector<client_connection> kept = take_idle(place);
     if (!kept.empty()) {
         client_connection& connection = kept.front();
-        auto answer = connection.call(sent, timeout);
+        auto answer = connection.call(sent, timeout, max_body_bytes);
         if (answer) {
             give_back(place, std::move(connection));
             return answer;
         }
     }
-    return call_once(place, sent, timeout);
+    return call_once(place, sent, timeout, max_body_bytes);
 }
 
 result<response> client_pool::call_once(const endpoint& place, const request& sent,
-                                        std::chrono::milliseconds timeout) {
+                                        std::chrono::milliseconds timeout,
+                                        std::size_t max_body_bytes) {
     auto connection = client_connection::open(place, tls_);
     if (!connection) {
         return tl::unexpected(connection.error());
     }
-    auto answer = connection->call(sent, timeout);
+    auto answer = connection->call(sent, timeout, max_body_bytes);
     if (answer) {
         give_back(place, std::move(*connection));
     }
--- a/src/http/client_pool.hpp
+++ b/src/http/client_pool.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "src/http/client.hpp"
+#include "src/http/constants.hpp"
 
 #include <map>
 #include <mutex>
@@ -18,12 +19,15 @@
 
     /// \brief Sends an idempotent request. A kept connection that fails before a response is
     /// replaced by a fresh one once.
+    /// \param max_body_bytes a longer body of the response is an error
     [[nodiscard]] result<response> call(const endpoint& place, const request& sent,
-                                        std::chrono::milliseconds timeout);
+                                        std::chrono::milliseconds timeout,
+                                        std::size_t max_body_bytes = max_response_bytes);
 
     /// \brief Sends a request that may not be repeated: always on a fresh connection, never again.
     [[nodiscard]] result<response> call_once(const endpoint& place, const request& sent,
-                                             std::chrono::milliseconds timeout);
+                                             std::chrono::milliseconds timeout,
+                                             std::size_t max_body_bytes = max_response_bytes);
 
 private:
     [[nodiscard]] std::vector<client_connection> take_idle(const endpoint& place);
--- a/src/http/constants.hpp
+++ b/src/http/constants.hpp
@@ -9,6 +9,9 @@
 /// Bodies larger than this are refused with 413 unless the server is built with another bound.
 inline constexpr std::size_t default_max_body_bytes = 4UL * 1024 * 1024;
 
+/// Responses with a larger body are given up unless the call states another bound.
+inline constexpr std::size_t max_response_bytes = 64UL * 1024 * 1024;
+
 /// Time after which a server gives up on a request that is not arriving.
 inline constexpr std::chrono::milliseconds default_receive_timeout{10'000};
 
--- a/src/scheduling/engine.hpp
+++ b/src/scheduling/engine.hpp
@@ -114,6 +114,7 @@
     bool has_cache_view = true;
     std::uint64_t next_cache_sequence = 0;
     std::unordered_set<std::uint64_t> cached;
+    std::vector<std::uint64_t> expected; ///< by grants since the last snapshot, a bounded number
 };
 
 } // namespace cicadahatch::scheduling
--- a/src/scheduling/internal/cache_view.cpp
+++ b/src/scheduling/internal/cache_view.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr std::size_t max_expected_prefixes = 1'024;
+
 void apply(engine& on, const cell_policy& policy, const cache_event& event) {
     if (!event.is_stored) {
         on.cached.erase(event.prefix_hash);
@@ -31,6 +33,9 @@
     const std::uint64_t end = batch.first_sequence + batch.events.size();
     if (batch.is_snapshot) {
         on.cached.clear();
+        // A snapshot is older than the latest grants; the next one must confirm what they expect.
+        on.cached.insert(on.expected.begin(), on.expected.end());
+        on.expected.clear();
         on.has_cache_view = true;
         on.next_cache_sequence = batch.first_sequence;
     }
@@ -61,6 +66,9 @@
         return;
     }
     on.cached.insert(prefix_hashes.begin(), prefix_hashes.end());
+    if (on.expected.size() + prefix_hashes.size() <= max_expected_prefixes) {
+        on.expected.insert(on.expected.end(), prefix_hashes.begin(), prefix_hashes.end());
+    }
 }
 
 void correct_cached(engine& on, const std::vector<std::uint64_t>& prefix_hashes,
--- a/src/serving/backend_directory.cpp
+++ b/src/serving/backend_directory.cpp
@@ -132,7 +132,8 @@
 }
 
 void backend_directory::note_load(const backend_id& id, const engines::load_report& load,
-                                  time_point now) {
+                                  time_point now,
+                                  std::shared_ptr<const engines::cache_content> cache) {
     const std::lock_guard lock{mutex_};
     backend_row* row = backends_.find(id);
     if (row == nullptr || load.started < row->started) {
@@ -147,6 +148,9 @@
     const bool is_new = load.started != row->started;
     row->started = load.started;
     row->load = load;
+    if (is_new || cache != nullptr) {
+        row->cache = std::move(cache);
+    }
     row->reported = now;
     row->is_reachable = true;
     if (load.is_leaving) {
--- a/src/serving/backend_directory.hpp
+++ b/src/serving/backend_directory.hpp
@@ -30,6 +30,8 @@
     bool is_drained = false; ///< by an operator; kept until the next incarnation
     bool is_reachable = true;
     engines::load_report load;
+    /// Cached prefixes of the running incarnation; null before the first answer.
+    std::shared_ptr<const engines::cache_content> cache;
     time_point reported; ///< when the load came
     int in_flight = 0;   ///< plain calls of this daemon that are running
 };
@@ -65,7 +67,9 @@
     void apply(revision accepted, std::shared_ptr<const service_map> services);
 
     /// \brief Notes a load report. A new incarnation at the same address is a new server.
-    void note_load(const backend_id& id, const engines::load_report& load, time_point now);
+    /// \param cache the engine's cached prefixes if they were asked for; null keeps the known ones
+    void note_load(const backend_id& id, const engines::load_report& load, time_point now,
+                   std::shared_ptr<const engines::cache_content> cache = nullptr);
 
     /// \brief Notes that a backend server answered.
     void note_reachable(const backend_id& id);
--- a/src/serving/cell_host.cpp
+++ b/src/serving/cell_host.cpp
@@ -4,6 +4,7 @@
 #include "src/scheduling/cell_inputs.hpp"
 #include "src/scheduling/error.hpp"
 #include "src/scheduling/tick.hpp"
+#include "src/serving/internal/cache_ingest.hpp"
 #include "src/serving/internal/cell_messages.hpp"
 #include "src/serving/internal/engine_specs.hpp"
 #include "src/serving/internal/wire_names.hpp"
@@ -306,6 +307,7 @@
                 continue;
             }
             scheduling::ingest_load(cell.state, internal::to_report(*server), now);
+            internal::ingest_cache(cell.state, policy_, *server);
             hold_back_if_needed(cell.state, *server);
         }
     }
--- a/src/serving/constants.hpp
+++ b/src/serving/constants.hpp
@@ -30,6 +30,9 @@
 /// Period in which backend servers are asked for their load.
 inline constexpr std::chrono::milliseconds load_poll_period{250};
 
+/// Time after which an engine that did not tell its cached prefixes is asked again.
+inline constexpr std::chrono::seconds cache_retry_period{5};
+
 /// Longest wait for a plain service's answer where its rule states no deadline.
 inline constexpr std::chrono::milliseconds default_plain_deadline{30'000};
 
--- a/src/serving/load_poller.cpp
+++ b/src/serving/load_poller.cpp
@@ -98,7 +98,7 @@
     if (!load) {
         return;
     }
-    directory_.note_load(server.id, *load, time_.now());
+    directory_.note_load(server.id, *load, time_.now(), changed_cache(server, *load));
     std::function<void(const backend_id&, incarnation)> told;
     {
         const std::lock_guard lock{mutex_};
@@ -109,6 +109,29 @@
     }
 }
 
+std::shared_ptr<const engines::cache_content>
+load_poller::changed_cache(const backend_row& server, const engines::load_report& load) {
+    const bool is_known = server.cache != nullptr && server.started == load.started &&
+                          server.cache->sequence >= load.cache_sequence;
+    if (server.role == backend_role::plain || load.cache_sequence == 0 || is_known) {
+        return nullptr;
+    }
+    {
+        const std::lock_guard lock{mutex_};
+        const auto next = next_cache_call_.find(server.id);
+        if (next != next_cache_call_.end() && time_.now() < next->second) {
+            return nullptr;
+        }
+    }
+    auto content = engines::fetch_cache(pool_, server.place);
+    if (!content) {
+        const std::lock_guard lock{mutex_};
+        next_cache_call_[server.id] = time_.now() + cache_retry_period;
+        return nullptr;
+    }
+    return std::make_shared<const engines::cache_content>(std::move(*content));
+}
+
 void load_poller::finish(const backend_id& id, bool is_answered) {
     int misses = 0;
     {
--- a/src/serving/load_poller.hpp
+++ b/src/serving/load_poller.hpp
@@ -17,6 +17,7 @@
 
 /// \brief Asks backend servers for their load in the background, a few at a time.
 ///
+/// Engines whose load report tells of changes in their prefix cache are asked for its content.
 /// A server that does not answer several times in a row counts as unreachable until it answers.
 class load_poller {
 public:
@@ -40,6 +41,8 @@
     void poll(const backend_row& server);
     [[nodiscard]] std::vector<backend_row> due();
     void look(time_point now);
+    [[nodiscard]] std::shared_ptr<const engines::cache_content>
+    changed_cache(const backend_row& server, const engines::load_report& load);
     void finish(const backend_id& id, bool is_answered);
 
     const clock& time_;
@@ -54,6 +57,7 @@
     std::deque<backend_row> waiting_;
     std::map<backend_id, time_point> next_;
     std::map<backend_id, int> misses_;
+    std::map<backend_id, time_point> next_cache_call_; ///< after a failed call for the cache
     std::vector<std::thread> workers_;
 };
 
