--- a/src/engines/messages.hpp
+++ b/src/engines/messages.hpp
@@ -86,4 +86,10 @@
     std::optional<std::vector<loaded_model>> models; ///< absent: the server does not tell
 };
 
+/// \brief The prompt prefixes that an engine holds.
+struct cache_content {
+    std::uint64_t sequence = 0; ///< number of changes up to this content
+    std::vector<std::uint64_t> prefix_hashes;
+};
+
 } // namespace cicadahatch::engines
