Count a cached prefix in the tokens that its block has

Cause: a cell reckoned 256 tokens for each prefix hash, but a daemon's hash covers 256 bytes, some 64 tokens. The cached part was overestimated fourfold, and a true hit looked like a miss, for which correct_cached() took the later hashes out of the view. Ruled out: hashes over tokens; the daemon does not know the engines' tokenizers. Change: the request states the estimated tokens of a block, from its own prompt; cell and correction go by it. It takes the place of excluded_backends in the message, which nothing set or read. The admin's cells tell how many prefixes are known, on which the process test waits where it slept 2 s.

--- a/src/rpc/internal/message_fields.hpp
+++ b/src/rpc/internal/message_fields.hpp
@@ -33,7 +33,7 @@
                       &acquire::between_tokens_target,
                       &acquire::gives_up_after,
                       &acquire::prefix_hashes,
-                      &acquire::excluded_backends};
+                      &acquire::prefix_block_tokens};
 }
 
 constexpr auto fields_of(tag<granted>) {
--- a/src/rpc/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -27,8 +27,8 @@
     std::chrono::microseconds first_token_target{};    ///< zero takes the service's
     std::chrono::microseconds between_tokens_target{}; ///< zero takes the service's
     std::chrono::microseconds gives_up_after{};        ///< then the caller has left; zero: never
-    std::vector<std::uint64_t> prefix_hashes;  ///< each covers the prompt up to its block's end
-    std::vector<backend_id> excluded_backends; ///< failed for this request already
+    std::vector<std::uint64_t> prefix_hashes; ///< each covers the prompt up to its block's end
+    std::uint32_t prefix_block_tokens = 0;    ///< estimated tokens of such a block
 };
 
 /// \brief The home's answer: what is reserved for the request.
--- a/src/scheduling/constants.hpp
+++ b/src/scheduling/constants.hpp
@@ -6,7 +6,7 @@
 
 namespace cicadahatch::scheduling {
 
-/// Tokens that one prefix hash covers.
+/// Tokens of the block that each prefix hash adds, where the request does not state them.
 inline constexpr std::uint32_t prefix_block_tokens = 256;
 
 /// Number of ranks of work.
--- a/src/scheduling/grant.hpp
+++ b/src/scheduling/grant.hpp
@@ -51,6 +51,7 @@
     duration between_tokens{0}; ///< target
     std::uint32_t expected_output_tokens = 0;
     std::vector<std::uint64_t> prefix_hashes;
+    std::uint32_t block_tokens = prefix_block_tokens; ///< of a block that a prefix hash adds
     bool is_reported_stuck = false;
 };
 
--- a/src/scheduling/internal/cache_view.cpp
+++ b/src/scheduling/internal/cache_view.cpp
@@ -2,6 +2,8 @@
 
 #include "src/scheduling/constants.hpp"
 
+#include <algorithm>
+
 namespace cicadahatch::scheduling::internal {
 
 namespace {
@@ -18,15 +20,15 @@
 
 } // namespace
 
-std::uint32_t cached_tokens(const engine& on, const std::vector<std::uint64_t>& prefix_hashes) {
+std::uint32_t cached_tokens(const engine& on, const request_spec& asked) {
     std::uint32_t tokens = 0;
-    for (const std::uint64_t hash : prefix_hashes) {
+    for (const std::uint64_t hash : asked.prefix_hashes) {
         if (!on.cached.contains(hash)) {
             break;
         }
-        tokens += prefix_block_tokens;
+        tokens += asked.block_tokens;
     }
-    return tokens;
+    return std::min(tokens, asked.prompt_tokens);
 }
 
 bool apply_cache_events(engine& on, const cell_policy& policy, const cache_event_batch& batch) {
@@ -71,13 +73,12 @@
     }
 }
 
-void correct_cached(engine& on, const std::vector<std::uint64_t>& prefix_hashes,
-                    std::uint32_t expected_tokens, std::uint32_t found_tokens) {
-    const std::size_t expected = expected_tokens / prefix_block_tokens;
-    std::size_t place = found_tokens / prefix_block_tokens;
+void correct_cached(engine& on, const live_grant& held, std::uint32_t found_tokens) {
+    const std::size_t expected = held.issued.expected_cached_tokens / held.block_tokens;
+    std::size_t place = found_tokens / held.block_tokens;
     // What the prefill has just computed is cached now; only what was wrongly expected is doubtful.
-    for (; place < expected && place < prefix_hashes.size(); ++place) {
-        on.cached.erase(prefix_hashes[place]);
+    for (; place < expected && place < held.prefix_hashes.size(); ++place) {
+        on.cached.erase(held.prefix_hashes[place]);
     }
 }
 
--- a/src/scheduling/internal/cache_view.hpp
+++ b/src/scheduling/internal/cache_view.hpp
@@ -2,6 +2,8 @@
 
 #include "src/scheduling/cell_policy.hpp"
 #include "src/scheduling/engine.hpp"
+#include "src/scheduling/grant.hpp"
+#include "src/scheduling/request.hpp"
 
 #include <cstdint>
 #include <vector>
@@ -9,8 +11,7 @@
 namespace cicadahatch::scheduling::internal {
 
 /// \returns how many tokens of the prompt the engine probably holds
-[[nodiscard]] std::uint32_t cached_tokens(const engine& on,
-                                          const std::vector<std::uint64_t>& prefix_hashes);
+[[nodiscard]] std::uint32_t cached_tokens(const engine& on, const request_spec& asked);
 
 /// \brief Applies events in sequence; a gap drops the view until a snapshot comes.
 /// \returns false if a snapshot is wanted
@@ -21,7 +22,6 @@
                    const std::vector<std::uint64_t>& prefix_hashes);
 
 /// \brief Corrects the view by what the engine says that it had of a prompt.
-void correct_cached(engine& on, const std::vector<std::uint64_t>& prefix_hashes,
-                    std::uint32_t expected_tokens, std::uint32_t found_tokens);
+void correct_cached(engine& on, const live_grant& held, std::uint32_t found_tokens);
 
 } // namespace cicadahatch::scheduling::internal
--- a/src/scheduling/internal/learn.cpp
+++ b/src/scheduling/internal/learn.cpp
@@ -32,8 +32,8 @@
         return;
     }
     const std::uint32_t expected = held.issued.expected_cached_tokens;
-    if (cached_tokens + prefix_block_tokens <= expected) {
-        correct_cached(*on, held.prefix_hashes, expected, cached_tokens);
+    if (cached_tokens + held.block_tokens <= expected) {
+        correct_cached(*on, held, cached_tokens);
         return;
     }
     const double observed = to_seconds(now - held.prefill_begins);
--- a/src/scheduling/request.hpp
+++ b/src/scheduling/request.hpp
@@ -2,6 +2,7 @@
 
 #include "src/core/clock.hpp"
 #include "src/core/identifiers.hpp"
+#include "src/scheduling/constants.hpp"
 
 #include <cstdint>
 #include <vector>
@@ -18,8 +19,9 @@
     cicadahatch::rank rank = cicadahatch::rank::deferrable;
     std::uint32_t prompt_tokens = 0;
     std::uint32_t expected_output_tokens = 0;
-    /// Hashes of the prompt's prefixes, one per prefix_block_tokens, each covering all before it.
+    /// Hashes of the prompt's prefixes, one per block, each covering all before it.
     std::vector<std::uint64_t> prefix_hashes;
+    std::uint32_t block_tokens = prefix_block_tokens; ///< of a block; at least 1
     time_point arrived;
     duration first_token{0};    ///< target; zero takes the service's
     duration between_tokens{0}; ///< target; zero takes the service's
--- a/src/scheduling/systems/grant.cpp
+++ b/src/scheduling/systems/grant.cpp
@@ -54,6 +54,7 @@
     held.between_tokens = spec.between_tokens;
     held.expected_output_tokens = spec.expected_output_tokens;
     held.prefix_hashes = spec.prefix_hashes;
+    held.block_tokens = spec.block_tokens;
     return held;
 }
 
--- a/src/scheduling/systems/place.cpp
+++ b/src/scheduling/systems/place.cpp
@@ -36,8 +36,7 @@
 prefill_choice consider_prefill(const engine& on, const request_spec& spec, time_point now) {
     prefill_choice choice;
     choice.on = &on;
-    choice.cached_tokens =
-        std::min(internal::cached_tokens(on, spec.prefix_hashes), spec.prompt_tokens);
+    choice.cached_tokens = internal::cached_tokens(on, spec);
     choice.seconds = internal::prefill_seconds(on, spec.prompt_tokens - choice.cached_tokens);
     choice.begins = std::max(now, on.foreign_prefill_until);
     if (on.prefills > 0) {
--- a/src/serving/admin_handler.cpp
+++ b/src/serving/admin_handler.cpp
@@ -35,6 +35,7 @@
             {"engines", cell.engines},
             {"waiting", cell.waiting},
             {"granted", cell.granted},
+            {"cached_prefixes", cell.cached_prefixes},
             {"registering", cell.is_registering}};
 }
 
--- a/src/serving/cell_host.cpp
+++ b/src/serving/cell_host.cpp
@@ -21,6 +21,14 @@
 
 namespace {
 
+std::size_t cached_prefixes(const scheduling::cell_state& state) {
+    std::size_t known = 0;
+    for (const scheduling::engine& on : state.engines.rows()) {
+        known += on.cached.size();
+    }
+    return known;
+}
+
 /// Leaving holds for good; a cut connection or an operator's drain may end.
 void hold_back_if_needed(scheduling::cell_state& state, const backend_row& server) {
     if (has_left(server)) {
@@ -54,6 +62,7 @@
         one.engines = cell.state.engines.size();
         one.waiting = cell.state.waiting.size();
         one.granted = cell.state.grants.size();
+        one.cached_prefixes = cached_prefixes(cell.state);
         one.is_registering = cell.state.home_since.has_value();
         listed.push_back(one);
     }
--- a/src/serving/cell_host.hpp
+++ b/src/serving/cell_host.hpp
@@ -29,6 +29,7 @@
     std::size_t engines = 0;
     std::size_t waiting = 0;
     std::size_t granted = 0;
+    std::size_t cached_prefixes = 0; ///< known at its engines
     bool is_registering = false;
 };
 
--- a/src/serving/completion_request.cpp
+++ b/src/serving/completion_request.cpp
@@ -4,6 +4,7 @@
 #include "src/core/hash.hpp"
 #include "src/serving/constants.hpp"
 
+#include <algorithm>
 #include <limits>
 #include <nlohmann/json.hpp>
 
@@ -91,4 +92,10 @@
     return hashes;
 }
 
+std::uint32_t tokens_of_block(std::string_view prompt, std::uint32_t prompt_tokens) {
+    const std::size_t bytes = std::max<std::size_t>(prompt.size(), 1);
+    const std::size_t tokens = prompt_tokens * prefix_block_bytes / bytes;
+    return static_cast<std::uint32_t>(std::max<std::size_t>(tokens, 1));
+}
+
 } // namespace cicadahatch::serving
--- a/src/serving/completion_request.hpp
+++ b/src/serving/completion_request.hpp
@@ -27,4 +27,8 @@
 /// prefix_block_bytes
 [[nodiscard]] std::vector<std::uint64_t> prefix_hashes(std::string_view prompt);
 
+/// \param prompt_tokens estimated for the whole prompt
+/// \returns the estimated tokens of prefix_block_bytes of a prompt, at least 1
+[[nodiscard]] std::uint32_t tokens_of_block(std::string_view prompt, std::uint32_t prompt_tokens);
+
 } // namespace cicadahatch::serving
--- a/src/serving/completion_session.cpp
+++ b/src/serving/completion_session.cpp
@@ -100,6 +100,7 @@
     wanted.first_token_target = rule_.first_token;
     wanted.between_tokens_target = rule_.between_tokens;
     wanted.prefix_hashes = prefix_hashes(asked_.prompt);
+    wanted.prefix_block_tokens = tokens_of_block(asked_.prompt, prompt_tokens_);
     return wanted;
 }
 
--- a/src/serving/daemon.cpp
+++ b/src/serving/daemon.cpp
@@ -10,8 +10,8 @@
 #include "src/platform/guarded_store.hpp"
 #include "src/scheduling/cell_home.hpp"
 #include "src/serving/constants.hpp"
-#include "src/serving/internal/checked_places.hpp"
 #include "src/serving/digest_period.hpp"
+#include "src/serving/internal/checked_places.hpp"
 
 #include <algorithm>
 #include <glog/logging.h>
--- a/src/serving/internal/cell_messages.cpp
+++ b/src/serving/internal/cell_messages.cpp
@@ -2,6 +2,8 @@
 
 #include "src/serving/internal/wire_names.hpp"
 
+#include <algorithm>
+
 namespace cicadahatch::serving::internal {
 
 using std::chrono::duration_cast;
@@ -20,6 +22,7 @@
     spec.prompt_tokens = asked.prompt_tokens + asked.generated_tokens;
     spec.expected_output_tokens = asked.expected_output_tokens;
     spec.prefix_hashes = asked.prefix_hashes;
+    spec.block_tokens = std::max<std::uint32_t>(asked.prefix_block_tokens, 1);
     spec.arrived = now - asked.waited;
     spec.first_token = asked.first_token_target;
     spec.between_tokens = asked.between_tokens_target;
--- a/test/fuzz/rpc_batch_fuzz.cpp
+++ b/test/fuzz/rpc_batch_fuzz.cpp
@@ -7,7 +7,7 @@
     asked.request = request_id{"r-1"};
     asked.cell = cell_id{"c"};
     asked.prefix_hashes = {1, 2, 3};
-    asked.excluded_backends = {backend_id{"b"}};
+    asked.prefix_hashes = {1, 2};
     rpc::register_grants registered;
     registered.cell = cell_id{"c"};
     registered.grants.resize(2);
--- a/test/scheduling/engine_view_test.cpp
+++ b/test/scheduling/engine_view_test.cpp
@@ -137,6 +137,17 @@
     CHECK(at("prefill-1").cached.empty());
 }
 
+TEST_CASE_FIXTURE(two_prefill_fixture, "cache, short blocks, a true hit leaves the view as it is") {
+    ingest_cache_events(state, policy,
+                        {backend_id{"prefill-1"}, incarnation{}, 0, false, {{7, true}, {8, true}}});
+    request_spec asked = with_prefix("r", {7, 8});
+    asked.block_tokens = 64;
+    const grant issued = granted(asked);
+    CHECK(issued.expected_cached_tokens == 128);
+    prefill_finished(state, issued.request, 128, time.now());
+    CHECK(at("prefill-1").cached.size() == 2);
+}
+
 TEST_CASE_FIXTURE(two_prefill_fixture, "load report, foreign streams, counted; own ones are not") {
     ingest_load(state, report("decode-0", 1, 12), time.now());
     CHECK(at("decode-0").foreign_streams == 12);
--- a/test/serving/completion_request_test.cpp
+++ b/test/serving/completion_request_test.cpp
@@ -81,6 +81,13 @@
     CHECK(first[2] != second[2]);
 }
 
+TEST_CASE("block of a prefix hash, tokens estimated, are the prompt's in proportion") {
+    const std::string prompt(10 * serving::prefix_block_bytes, 'a');
+    CHECK(serving::tokens_of_block(prompt, 640) == 64);
+    CHECK(serving::tokens_of_block(prompt, 3) == 1);
+    CHECK(serving::tokens_of_block("", 0) == 1);
+}
+
 TEST_CASE("prefix hashes, long prompt, are bounded") {
     const std::string prompt(100 * serving::prefix_block_bytes, 'a');
     CHECK(serving::prefix_hashes(prompt).size() == serving::max_prefix_hashes);
--- a/test/serving/prefix_affinity_process_test.cpp
+++ b/test/serving/prefix_affinity_process_test.cpp
@@ -5,20 +5,15 @@
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace {
 
-using namespace std::chrono_literals;
 using namespace cicadahatch;
 using namespace cicadahatch::test_support;
 using nlohmann::json;
 
 constexpr int words_in_prefix = 60;
-/// Several polls of the engines' loads.
-constexpr auto view_delay = 2s;
-
 /// A word whose prompt's prefix an engine holds.
 struct held_prefix {
     std::string word;
@@ -38,7 +33,7 @@
         REQUIRE(running.wait_until_ready());
         prefill_at("p1", prompt("route"));
         prefill_at("p2", prompt("soils"));
-        std::this_thread::sleep_for(view_delay);
+        REQUIRE(eventually([&] { return known_prefixes() == 2; }));
     }
 
     /// Prompts of the same word differ only after the prefix that one hash covers.
@@ -50,6 +45,12 @@
         return text + tail;
     }
 
+    /// The cell's view of what its engines hold.
+    std::size_t known_prefixes() {
+        const json told = json::parse(fetch(running.admin("entry-1"), "/v1/cells"));
+        return told["cells"].at(0)["cached_prefixes"];
+    }
+
     void prefill_at(const std::string& engine, const std::string& text) {
         const json asked{{"request_id", "direct-" + engine}, {"attempt", 1}, {"prompt", text}};
         REQUIRE_FALSE(post(running.backend(engine).place(), "/v1/prefill", asked.dump()).empty());
