--- a/test/serving/prefix_affinity_process_test.cpp
+++ b/test/serving/prefix_affinity_process_test.cpp
@@ -47,7 +47,7 @@
 
     /// The cell's view of what its engines hold.
     std::size_t known_prefixes() {
-        const json told = json::parse(fetch(running.admin("entry-1"), "/v1/cells"));
+        const json told = json::parse(fetch(running.admin("entry-1"), "/admin/v1/cells"));
         return told["cells"].at(0)["cached_prefixes"];
     }
 
