--- a/test/invariants/vm_list_invariant_process_test.cpp
+++ b/test/invariants/vm_list_invariant_process_test.cpp
@@ -87,6 +87,7 @@
                 CHECK((is_whole || text_field(answer.problem, "execution") == "not_run"));
                 const std::string got =
                     fetch(running.callers(daemon), "/services/portal/stock/steel");
+                INFO(got);
                 CHECK(text_field(got, "path") == "/stock/steel");
             }
         }
