Try the tool against running daemons; wait only for daemons that are reached

Cause: publish, show, status and drain had been tried against a stand-in of the admin listener only.

Change: a daemon that was not reached five times in a row (a second) is no longer waited for, and is listed; exit status 4 as before. Faults of a file are printed in the order of its lines; a wrong endpoint's message shows a right one.

--- a/programs/cicadahatch/error.cpp
+++ b/programs/cicadahatch/error.cpp
@@ -16,7 +16,7 @@
         case errc::no_platform:
             return "no platform named; give --platform HOST:PORT[,..] or set CICADAHATCH_PLATFORM";
         case errc::bad_endpoint:
-            return "not a numeric address and port";
+            return "an endpoint is not a numeric address and port, such as 10.0.0.1:8081";
         case errc::unreadable_token:
             return "token file can't be read";
         case errc::unreadable_file:
--- a/programs/cicadahatch/in_force.cpp
+++ b/programs/cicadahatch/in_force.cpp
@@ -11,6 +11,34 @@
 
 constexpr std::chrono::milliseconds ask_interval{200};
 
+/// A daemon that was not reached this many times in a row is not waited for.
+constexpr int max_failed_asks = 5;
+
+/// \brief Asks each daemon once.
+/// \returns the answers, with errc::not_in_force for daemons that lag
+std::vector<daemon_reply> ask_for(const admin_target& target, revision wanted) {
+    auto replies = ask_all(target, read_request("configuration"));
+    for (daemon_reply& reply : replies) {
+        const auto at = revision_of(reply);
+        if (!at) {
+            reply.body = tl::unexpected(at.error());
+        } else if (*at < wanted) {
+            reply.body = failure(errc::not_in_force);
+        }
+    }
+    return replies;
+}
+
+/// \param failed_asks for each daemon, how often in a row it was not reached; updated
+bool is_awaited(const daemon_reply& reply, int& failed_asks) {
+    if (reply.body || reply.body.error() == errc::not_in_force) {
+        failed_asks = 0;
+        return !reply.body;
+    }
+    ++failed_asks;
+    return failed_asks < max_failed_asks;
+}
+
 } // namespace
 
 result<revision> revision_of(const daemon_reply& reply) {
@@ -29,20 +57,14 @@
 std::vector<daemon_reply> wait_in_force(const admin_target& target, revision wanted,
                                         std::chrono::milliseconds longest) {
     const auto end = std::chrono::steady_clock::now() + longest;
+    std::vector<int> failed_asks(target.daemons.size(), 0);
     while (true) {
-        auto replies = ask_all(target, read_request("configuration"));
-        for (daemon_reply& reply : replies) {
-            const auto at = revision_of(reply);
-            if (!at) {
-                reply.body = tl::unexpected(at.error());
-            } else if (*at < wanted) {
-                reply.body = failure(errc::not_in_force);
-            }
+        auto replies = ask_for(target, wanted);
+        bool is_any_awaited = false;
+        for (std::size_t index = 0; index < replies.size(); ++index) {
+            is_any_awaited |= is_awaited(replies[index], failed_asks[index]);
         }
-        const bool is_everywhere =
-            std::all_of(replies.begin(), replies.end(),
-                        [](const daemon_reply& reply) { return reply.body.has_value(); });
-        if (is_everywhere || std::chrono::steady_clock::now() >= end) {
+        if (!is_any_awaited || std::chrono::steady_clock::now() >= end) {
             return replies;
         }
         std::this_thread::sleep_for(ask_interval);
--- a/src/settings/internal/fault_list.hpp
+++ b/src/settings/internal/fault_list.hpp
@@ -3,6 +3,7 @@
 #include "src/settings/error.hpp"
 #include "src/settings/field_error.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <map>
 #include <string>
@@ -20,7 +21,13 @@
     [[nodiscard]] bool empty() const noexcept { return faults_.empty(); }
     /// \returns whether the field stands in the file
     [[nodiscard]] bool holds(const std::string& path) const { return lines_.contains(path); }
-    [[nodiscard]] std::vector<field_error> take() { return std::move(faults_); }
+    /// \returns the faults in the order of the file's lines
+    [[nodiscard]] std::vector<field_error> take() {
+        std::stable_sort(faults_.begin(), faults_.end(), [](const auto& left, const auto& right) {
+            return left.line < right.line;
+        });
+        return std::move(faults_);
+    }
 
     /// \brief Remembers where a field's value begins.
     void note_place(const std::string& path, std::ptrdiff_t offset);
