--- a/src/rpc/peer_server.cpp
+++ b/src/rpc/peer_server.cpp
@@ -64,11 +64,13 @@
     std::vector<const char*> options = {"listening_ports", port.c_str(),  "num_threads",
                                         threads.c_str(),   "tcp_nodelay", "1"};
     if (is_tls) {
-        options.insert(options.end(), {"ssl_certificate", settings.tls_.certificate.c_str()});
+        options.insert(options.end(), {"ssl_certificate", settings.tls_.certificate.c_str(),
+                                       "ssl_protocol_version", http::internal::tls_1_2_or_later});
     }
     if (is_tls && !settings.tls_.peer_ca.empty()) {
         options.insert(options.end(),
-                       {"ssl_verify_peer", "yes", "ssl_ca_file", settings.tls_.peer_ca.c_str()});
+                       {"ssl_verify_peer", "yes", "ssl_ca_file", settings.tls_.peer_ca.c_str(),
+                        "ssl_default_verify_paths", http::internal::no_system_authorities});
     }
     options.push_back(nullptr);
     const mg_callbacks callbacks{};
--- a/src/settings/internal/daemon_checks.cpp
+++ b/src/settings/internal/daemon_checks.cpp
@@ -19,6 +19,13 @@
     }
 }
 
+/// Daemons check each other's certificates in both directions.
+void check_peers(const listener& described, fault_list& faults) {
+    if (!described.tls_certificate.empty() && described.tls_peer_ca.empty()) {
+        faults.add("peers.tls_certificate", errc::contradictory, "empty without tls_peer_ca");
+    }
+}
+
 void check_distinct_addresses(const daemon_settings& described, fault_list& faults) {
     std::set<std::string> taken;
     const auto take = [&](const std::string& address, const std::string& path) {
@@ -70,6 +77,7 @@
     check_listener(described.callers, "callers", faults);
     check_listener(described.admin, "admin", faults);
     check_listener(described.peers, "peers", faults);
+    check_peers(described.peers, faults);
     check_distinct_addresses(described, faults);
     check_secrets(described, faults);
     check_bounds(described, faults);
--- a/test/settings/daemon_settings_test.cpp
+++ b/test/settings/daemon_settings_test.cpp
@@ -77,6 +77,8 @@
                 errc::contradictory);
     check_fault(R"("threads": 16)", R"("threads": 16, "tls_peer_ca": "ca.pem")",
                 "callers.tls_peer_ca", errc::contradictory);
+    check_fault(R"("127.0.0.1:8082")", R"("127.0.0.1:8082", "tls_certificate": "own.pem")",
+                "peers.tls_certificate", errc::contradictory);
     check_fault("127.0.0.1:8082", "127.0.0.1:8081", "peers.address", errc::contradictory);
     check_fault(R"("peer_secret": "0123456789abcdef",)", "", "peer_secret", errc::missing_field);
     check_fault(R"("address": "127.0.0.1:8081")", R"("address": "10.0.0.1:8081")", "admin_token",
