--- a/src/scheduling/grant.hpp
+++ b/src/scheduling/grant.hpp
@@ -2,6 +2,7 @@
 
 #include "src/core/clock.hpp"
 #include "src/core/identifiers.hpp"
+#include "src/scheduling/constants.hpp"
 
 #include <cstdint>
 #include <system_error>
