--- a/test/support/certificates.cpp
+++ b/test/support/certificates.cpp
@@ -61,7 +61,7 @@
 
 std::string certificate_authority::issue(const std::string& subject) const {
     const key_handle key{EVP_EC_gen(curve)};
-    const std::string path = directory_ + "/" + name_ + "." + subject + ".pem";
+    std::string path = directory_ + "/" + name_ + "." + subject + ".pem";
     write_pem(path, sign(subject, key.get(), false).get(), key.get());
     return path;
 }
