Run the cells' systems as soon as there is work

Cause: a request waited for the cell's next tick, up to 5 ms, before it was decided on.

Change: a request or a released grant wakes the thread that drives the cells. Ticks for new work are at least 1 ms apart, so that a flood is still decided on in batches.

--- a/src/serving/daemon.cpp
+++ b/src/serving/daemon.cpp
@@ -19,6 +19,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds refresh_period{100};
+/// Ticks for new work are this far apart at least, so that a flood is decided on in batches.
+constexpr milliseconds least_tick_interval{1};
 constexpr milliseconds digest_period{500};
 constexpr int digests_per_domain_digest = 10;
 constexpr milliseconds exchange_period{100};
@@ -132,6 +134,7 @@
         is_stopping_ = true;
     }
     stopping_.notify_all();
+    work_.notify_all();
     for (std::thread& thread : threads_) {
         thread.join();
     }
@@ -150,6 +153,7 @@
     broker_ = std::make_unique<grant_broker>(time_, policy_of(configured_), directory_, cancels_,
                                              *network_, configured_.domain,
                                              configured_.max_engines_per_cell);
+    broker_->on_work([this] { note_work(); });
     attempts_ = std::make_unique<attempt_runner>(cancels_);
     claims_ = claims::claim_book_builder{*store_, time_}.owner(configured_.name).build();
     context_ = std::make_unique<serving_context>(serving_context{time_, configured_, directory_,
@@ -352,10 +356,27 @@
             spread_digests();
         }
         broker_->tick();
-        wait(cicadahatch::tick_period);
+        wait_for_work(now + least_tick_interval);
     }
 }
 
+void daemon::note_work() {
+    {
+        const std::lock_guard lock{mutex_};
+        has_work_ = true;
+    }
+    work_.notify_one();
+}
+
+void daemon::wait_for_work(time_point earliest) {
+    std::unique_lock lock{mutex_};
+    work_.wait_for(lock, cicadahatch::tick_period, [this] { return is_stopping_ || has_work_; });
+    if (has_work_) {
+        work_.wait_until(lock, earliest, [this] { return is_stopping_.load(); });
+    }
+    has_work_ = false;
+}
+
 void daemon::spread_digests() {
     ++digest_round_;
     const auto version = next_incarnation(time_).value();
--- a/src/serving/daemon.hpp
+++ b/src/serving/daemon.hpp
@@ -61,6 +61,9 @@
     void follow_configuration();
     void exchange_configuration();
     void drive_cells();
+    /// Lets drive_cells() run the cells' systems ahead of the next tick.
+    void note_work();
+    void wait_for_work(time_point earliest);
     void spread_digests();
     void tend_claims();
     void follow_vm_list();
@@ -99,6 +102,8 @@
     std::set<std::string> vms_left_; ///< used by the thread that follows the VM list
     std::mutex mutex_;
     std::condition_variable stopping_;
+    std::condition_variable work_;
+    bool has_work_ = false; ///< guarded by the mutex
     std::atomic<bool> is_stopping_{false};
     std::vector<std::thread> threads_;
 };
--- a/src/serving/grant_broker.cpp
+++ b/src/serving/grant_broker.cpp
@@ -56,6 +56,12 @@
            reason == rpc::refusal_reason::unknown_service;
 }
 
+/// A request to decide on, or room for one that waits.
+bool brings_work(const rpc::message& received) {
+    return std::holds_alternative<rpc::acquire>(received) ||
+           std::holds_alternative<rpc::release>(received);
+}
+
 rpc::grant_record to_record(const rpc::acquire& asked, const rpc::granted& held,
                             const daemon_id& self) {
     rpc::grant_record record;
@@ -238,6 +244,9 @@
         return on(*wanted, from);
     }
     host_.handle(from, received);
+    if (on_work_ && brings_work(received)) {
+        on_work_();
+    }
 }
 
 void grant_broker::on(const rpc::granted& answer, const daemon_id& from) {
--- a/src/serving/grant_broker.hpp
+++ b/src/serving/grant_broker.hpp
@@ -11,6 +11,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -65,6 +66,9 @@
     /// times a second and after changes.
     void refresh();
 
+    /// \param called when the cells have something new to decide on; set before the first message
+    void on_work(std::function<void()> called) { on_work_ = std::move(called); }
+
     /// \brief Runs the cells' systems.
     void tick() { host_.tick(); }
 
@@ -106,6 +110,7 @@
     std::size_t max_engines_per_cell_;
     random_source random_; ///< guarded by the mutex
     cell_host host_;
+    std::function<void()> on_work_;
     digest_book digests_;
     mutable std::mutex mutex_;
     table<ticket_key, ticket_row> tickets_;
