--- a/src/serving/daemon.cpp
+++ b/src/serving/daemon.cpp
@@ -25,6 +25,8 @@
 
 constexpr milliseconds refresh_period{100};
 constexpr milliseconds traffic_period{1000};
+/// Ticks for new work are this far apart at least, so that a flood is decided on in batches.
+constexpr milliseconds least_tick_interval{1};
 constexpr milliseconds exchange_period{100};
 constexpr milliseconds watch_wait{2000};
 constexpr milliseconds watch_pause{200};
@@ -137,6 +139,7 @@
         is_stopping_ = true;
     }
     stopping_.notify_all();
+    work_.notify_all();
     for (std::thread& thread : threads_) {
         thread.join();
     }
@@ -157,6 +160,7 @@
                                              configured_.max_engines_per_cell);
     orders_ = std::make_unique<order_driver>(*store_, time_, configured_.name, configured_.orders,
                                              order_sender_);
+    broker_->on_work([this] { note_work(); });
     attempts_ = std::make_unique<attempt_runner>(cancels_);
     claims_ = claims::claim_book_builder{*store_, time_}.owner(configured_.name).build();
     context_ = std::make_unique<serving_context>(serving_context{time_, configured_, directory_,
@@ -374,7 +378,7 @@
             note_traffic();
         }
         broker_->tick();
-        wait(cicadahatch::tick_period);
+        wait_for_work(now + least_tick_interval);
     }
 }
 
@@ -387,6 +391,23 @@
     }
 }
 
+void daemon::note_work() {
+    {
+        const std::lock_guard lock{mutex_};
+        has_work_ = true;
+    }
+    work_.notify_one();
+}
+
+void daemon::wait_for_work(time_point earliest) {
+    std::unique_lock lock{mutex_};
+    work_.wait_for(lock, cicadahatch::tick_period, [this] { return is_stopping_ || has_work_; });
+    if (has_work_) {
+        work_.wait_until(lock, earliest, [this] { return is_stopping_.load(); });
+    }
+    has_work_ = false;
+}
+
 void daemon::spread_digests(rpc::payload_kind kind) {
     const auto version = next_incarnation(time_).value();
     for (const scheduling::cell_digest& digest : broker_->own_digests()) {
--- a/src/serving/daemon.hpp
+++ b/src/serving/daemon.hpp
@@ -65,6 +65,9 @@
     void follow_configuration();
     void exchange_configuration();
     void drive_cells();
+    /// Lets drive_cells() run the cells' systems ahead of the next tick.
+    void note_work();
+    void wait_for_work(time_point earliest);
     void drive_orders();
     void spread_digests(rpc::payload_kind kind);
     void note_traffic();
@@ -112,6 +115,8 @@
         vms_left_; ///< used by the thread that follows the VM list
     std::mutex mutex_;
     std::condition_variable stopping_;
+    std::condition_variable work_;
+    bool has_work_ = false; ///< guarded by the mutex
     std::atomic<bool> is_stopping_{false};
     std::vector<std::thread> threads_;
 };
