Share the platform's rates among the daemons that are there

Cause: each daemon took a 410th of the platform's writes, 0.55 a second with 50 saved up, also in a fleet of 7. Ruled out: the circuit breaker (no store call had failed); a setting (it would be wrong after every change of the fleet). Change: the daemon counts the live daemons of all domains once a second and takes its part; one that has just started takes that of a full-size fleet, and the part does not grow when others are cut off. With 7 daemons that is 32 writes a second in place of 0.55.

--- a/src/platform/guarded_store.cpp
+++ b/src/platform/guarded_store.cpp
@@ -50,6 +50,13 @@
     return is_open(circuit_);
 }
 
+void guarded_store::set_budget(const call_budget& budget) {
+    const std::lock_guard lock{mutex_};
+    const time_point now = time_.now();
+    set_rate(reads_, budget.reads_per_second, budget.read_burst, now);
+    set_rate(writes_, budget.writes_per_second, budget.write_burst, now);
+}
+
 std::error_code guarded_store::admit(token_bucket* bucket) {
     const std::lock_guard lock{mutex_};
     const time_point now = time_.now();
--- a/src/platform/guarded_store.hpp
+++ b/src/platform/guarded_store.hpp
@@ -40,6 +40,9 @@
 
     [[nodiscard]] bool is_circuit_open() const;
 
+    /// \brief Changes the rates, as when the number of daemons that share them has changed.
+    void set_budget(const call_budget& budget);
+
     [[nodiscard]] result<std::optional<entry>> get(const std::string& key) override;
     [[nodiscard]] result<listing> list(const std::string& prefix) override;
     [[nodiscard]] result<swap_outcome> swap(const std::string& key, revision expected,
--- a/src/platform/token_bucket.cpp
+++ b/src/platform/token_bucket.cpp
@@ -19,6 +19,13 @@
     return true;
 }
 
+void set_rate(token_bucket& bucket, double per_second, double burst, time_point now) {
+    refill(bucket, now);
+    bucket.per_second = per_second;
+    bucket.burst = burst;
+    bucket.tokens = std::min(bucket.tokens, burst);
+}
+
 void drain(token_bucket& bucket, time_point now) {
     bucket.tokens = 0.0;
     bucket.filled_at = now;
--- a/src/platform/token_bucket.hpp
+++ b/src/platform/token_bucket.hpp
@@ -18,6 +18,9 @@
 /// \returns whether a token was there and has been taken
 [[nodiscard]] bool try_take(token_bucket& bucket, time_point now);
 
+/// \brief Changes the rate; tokens over the new burst are lost.
+void set_rate(token_bucket& bucket, double per_second, double burst, time_point now);
+
 /// \brief Empties the bucket, so that what follows comes at the steady rate.
 void drain(token_bucket& bucket, time_point now);
 
--- a/src/serving/daemon.cpp
+++ b/src/serving/daemon.cpp
@@ -39,14 +39,6 @@
 /// Workers of the admin listener that slow senders can't hold.
 constexpr int admin_reserved_workers = 1;
 
-/// What the platform takes from all daemons together.
-constexpr double platform_reads_per_second = 2000;
-constexpr double platform_writes_per_second = 300;
-/// Daemons that share the platform's rates at most.
-constexpr std::size_t daemons_sharing_platform = 410;
-/// A small fleet's daemon needs no more than this.
-constexpr double largest_daemon_rate = 50;
-
 incarnation next_incarnation(const clock& time) {
     const auto since = time.wall_now().time_since_epoch();
     const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(since).count();
@@ -72,14 +64,6 @@
     return builder.build();
 }
 
-platform::call_budget budget_of_daemon() {
-    auto budget = platform::share_budget(platform_reads_per_second, platform_writes_per_second,
-                                         daemons_sharing_platform);
-    budget.read_burst = largest_daemon_rate;
-    budget.write_burst = largest_daemon_rate;
-    return budget;
-}
-
 std::shared_ptr<const service_map> to_services(const configuration::snapshot& accepted) {
     auto services = std::make_shared<service_map>();
     for (const auto& [name, held] : accepted.services()) {
@@ -126,10 +110,10 @@
 
 daemon::daemon(settings::daemon_settings configured, const clock& time)
     : configured_(std::move(configured)), time_(time), started_(next_incarnation(time)),
-      etcd_(make_store(configured_)),
-      store_(std::make_unique<platform::guarded_store>(*etcd_, time, budget_of_daemon(),
-                                                       platform::circuit_limits{},
-                                                       stable_hash(configured_.name.str()))),
+      etcd_(make_store(configured_)), share_{time.now(), 1},
+      store_(std::make_unique<platform::guarded_store>(
+          *etcd_, time, budget_of(share_, 1, time.now()), platform::circuit_limits{},
+          stable_hash(configured_.name.str()))),
       cancels_(time), recorder_(time), naming_(configured_.name, started_),
       order_sender_(time, configured_.orders.longest_order) {}
 
@@ -448,10 +432,19 @@
                 note_vms(*listed, pool);
             }
         }
+        share_platform();
         wait(vm_list_period);
     }
 }
 
+void daemon::share_platform() {
+    std::size_t live = 0;
+    for (const domain_id& domain : network_->gossip().known_domains()) {
+        live += network_->live_daemons(domain).size();
+    }
+    store_->set_budget(budget_of(share_, live, time_.now()));
+}
+
 void daemon::note_vms(const platform::vm_list& listed, http::client_pool& pool) {
     for (const platform::virtual_machine& vm : listed) {
         if (vm.state != platform::vm_state::leaving) {
--- a/src/serving/daemon.hpp
+++ b/src/serving/daemon.hpp
@@ -16,6 +16,7 @@
 #include "src/serving/membership_network.hpp"
 #include "src/serving/order_driver.hpp"
 #include "src/serving/plain_handler.hpp"
+#include "src/serving/platform_share.hpp"
 #include "src/serving/serving_context.hpp"
 
 #include <atomic>
@@ -73,6 +74,8 @@
     void note_traffic();
     void tend_claims();
     void follow_vm_list();
+    /// Takes this daemon's part of the platform's rates.
+    void share_platform();
     void note_vms(const platform::vm_list& listed, http::client_pool& pool);
     /// Whether this daemon or another has told that the server leaves because this VM does.
     [[nodiscard]] bool is_known_to_leave(const backend_id& server,
@@ -86,7 +89,8 @@
     const clock& time_;
     incarnation started_;
     std::unique_ptr<platform::store> etcd_;
-    std::unique_ptr<platform::store> store_; ///< etcd_ behind budget and circuit breaker
+    platform_share share_; ///< used by the thread that follows the VM list
+    std::unique_ptr<platform::guarded_store> store_; ///< etcd_ behind budget and circuit breaker
     configuration::holder configuration_;
     backend_directory directory_;
     engines::canceller cancels_;
--- a/test/platform/guarded_store_test.cpp
+++ b/test/platform/guarded_store_test.cpp
@@ -45,6 +45,15 @@
     CHECK(guarded.get("a").error() == errc::rate_limited);
 }
 
+TEST_CASE_FIXTURE(guarded_fixture, "guarded_store, larger budget, lets more calls pass") {
+    guarded.set_budget({10.0, 5.0, 1.0, 1.0});
+    time.advance(1s);
+    for (int call = 0; call < 5; ++call) {
+        CHECK(guarded.get("a"));
+    }
+    CHECK(guarded.get("a").error() == errc::rate_limited);
+}
+
 TEST_CASE_FIXTURE(guarded_fixture,
                   "guarded_store, failures in a row, circuit opens, nothing is sent") {
     open_circuit();
