--- a/src/serving/daemon.cpp
+++ b/src/serving/daemon.cpp
@@ -438,7 +438,7 @@
 }
 
 void daemon::share_platform() {
-    std::size_t live = 0;
+    std::size_t live = network_->live_daemons(configured_.domain).size();
     for (const domain_id& domain : network_->gossip().known_domains()) {
         live += network_->live_daemons(domain).size();
     }
