--- a/test/rpc/batch_test.cpp
+++ b/test/rpc/batch_test.cpp
@@ -60,7 +60,7 @@
                 43ms,
                 9s,
                 {1, UINT64_MAX},
-                {backend_id{"b"}}},
+                64},
         granted{request, attempt, cell, 8, backend_id{"p"}, backend_id{"q"}, 4, 5, 7us, 8us},
         refused{request, attempt, cell, refusal_reason::not_home, 20ms, daemon_id{"h"}},
         prefill_finished{request, attempt, cell, 6, 9us},
