Expect the faults of a file in the order of its lines

Cause: faults are printed by line now, so those of fields missing in the object that begins on line 2 come first; settings.service looked for the fault of line 3 at the front.

--- a/test/settings/service_test.cpp
+++ b/test/settings/service_test.cpp
@@ -108,10 +108,11 @@
     CHECK(settings::parse_service(text, "a").errors.size() == 3);
 }
 
-TEST_CASE("parse_service, fault on the third line, its line is three") {
+TEST_CASE("parse_service, fault on the third line, its line is three, after those of the second") {
     const auto parsed = settings::parse_service("// note\n{\n  \"name\": 4\n}", "a");
     REQUIRE_FALSE(parsed.is_valid());
-    CHECK(settings::to_string(parsed.errors.front()).starts_with("a:3: name: wrong type"));
+    CHECK(settings::to_string(parsed.errors.front()).starts_with("a:2: "));
+    CHECK(settings::to_string(parsed.errors.back()).starts_with("a:3: name: wrong type"));
 }
 
 TEST_CASE("parse_service, text that is no JSON, faults with a code and no crash") {
