Hold work back from an engine that has just failed an attempt

The dead engine is the emptiest, so it was chosen first. An owner notes "not reached" in its own directory only, so through another daemon a death cost three of the four attempts, until the third failure in a row ejected the engine.

Ruled out: the retry budget (ten at the start, three used) and the continuation of the text (right up to the last token sent).

Change: a release with prefill_failed or decode_failed holds new work back from the blamed engine until a load report taken after the failure, or for 1 s if none comes. A false accusation so ends with the next poll that the engine answers. The engine still counts as capacity, so nothing is refused for it, nor is it ejected; the only engine of its role that takes work is not held back. Weighed against a list of excluded engines in each request: that needs the message field again, and every other request would still be sent to the dead engine.

Its checks are unchanged; five cases are new.

--- a/src/scheduling/cell_inputs.cpp
+++ b/src/scheduling/cell_inputs.cpp
@@ -248,11 +248,11 @@
         internal::note_success(state, held->issued.decode);
     }
     const live_grant freed = internal::free_grant(state, request, now);
-    if (ended == outcome::prefill_failed) {
-        internal::note_failure(state, policy, freed.issued.prefill, now);
-    }
-    if (ended == outcome::decode_failed) {
-        internal::note_failure(state, policy, freed.issued.decode, now);
+    if (ended == outcome::prefill_failed || ended == outcome::decode_failed) {
+        const bool is_prefill = ended == outcome::prefill_failed;
+        const backend_id& blamed = is_prefill ? freed.issued.prefill : freed.issued.decode;
+        internal::note_failure(state, policy, blamed, now);
+        internal::hold_back(state, blamed, now);
     }
 }
 
@@ -266,6 +266,7 @@
         return;
     }
     on->report_sequence = report.sequence;
+    internal::note_report(*on, report.taken_at);
     if (now - report.taken_at > stream_memory) {
         return;
     }
--- a/src/scheduling/cell_inputs.hpp
+++ b/src/scheduling/cell_inputs.hpp
@@ -43,7 +43,8 @@
 /// \brief The decode engine sent the first token.
 void first_token(cell_state& state, const request_id& request, time_point now);
 
-/// \brief A granted request has ended; its reservations are free.
+/// \brief A granted request has ended; its reservations are free. An engine that failed it gets
+/// no new work until it next reports.
 /// \param output_tokens tokens sent, which corrects predictions; zero if not known
 void release(cell_state& state, const cell_policy& policy, const request_id& request, outcome ended,
              std::uint32_t output_tokens, time_point now);
--- a/src/scheduling/cell_policy.hpp
+++ b/src/scheduling/cell_policy.hpp
@@ -35,7 +35,8 @@
     duration registration_window = std::chrono::milliseconds{500};
     std::uint32_t ejection_failures = 3; ///< failures in a row
     double ejection_share = 0.34;        ///< largest part of a role's engines ejected at once
-    double slow_factor = 3.0;            ///< slower than the role's median by this counts as failed
+    duration longest_hold = std::chrono::seconds{1}; ///< after a failure that no report follows
+    double slow_factor = 3.0; ///< slower than the role's median by this counts as failed
     duration ejection_base = std::chrono::seconds{2};
     duration ejection_longest = std::chrono::seconds{60};
     std::size_t max_cached_prefixes = 200'000; ///< per engine's view
--- a/src/scheduling/engine.hpp
+++ b/src/scheduling/engine.hpp
@@ -106,6 +106,8 @@
 
     // Health.
     scheduling::health health = scheduling::health::healthy;
+    bool is_held_back = false; ///< an attempt failed here; no new work until the next report
+    time_point failed_at;      ///< when it did
     std::uint32_t failures_in_row = 0;
     std::uint32_t ejections_in_row = 0;
     time_point ejected_until;
--- a/src/scheduling/internal/engine_health.cpp
+++ b/src/scheduling/internal/engine_health.cpp
@@ -85,10 +85,23 @@
     }
 }
 
+bool has_other_open(const cell_state& state, const engine& on) {
+    const auto& engines = state.engines.rows();
+    return std::any_of(engines.begin(), engines.end(), [&](const engine& other) {
+        return other.id != on.id && other.spec.role == on.spec.role && takes_work(other);
+    });
+}
+
+void end_hold(engine& on, const cell_policy& policy, time_point now) {
+    if (on.is_held_back && now - on.failed_at >= policy.longest_hold) {
+        on.is_held_back = false;
+    }
+}
+
 } // namespace
 
 bool takes_work(const engine& on) noexcept {
-    if (on.is_leaving || on.is_paused || on.health == health::ejected) {
+    if (on.is_leaving || on.is_paused || on.is_held_back || on.health == health::ejected) {
         return false;
     }
     return on.health == health::healthy || on.prefills + on.streams == 0;
@@ -108,6 +121,21 @@
     }
 }
 
+void hold_back(cell_state& state, const backend_id& backend, time_point now) {
+    engine* on = state.engines.find(backend);
+    if (on == nullptr || !(on->is_held_back || has_other_open(state, *on))) {
+        return;
+    }
+    on->is_held_back = true;
+    on->failed_at = now;
+}
+
+void note_report(engine& on, time_point taken_at) noexcept {
+    if (taken_at > on.failed_at) {
+        on.is_held_back = false;
+    }
+}
+
 void note_success(cell_state& state, const backend_id& backend) {
     engine* on = state.engines.find(backend);
     if (on == nullptr || on->health == health::ejected) {
@@ -124,6 +152,7 @@
     slowness_range prefills;
     slowness_range decodes;
     for (engine& on : state.engines.rows()) {
+        end_hold(on, policy, now);
         if (on.health == health::ejected && now >= on.ejected_until) {
             on.health = health::probing;
         }
--- a/test/scheduling/engine_view_test.cpp
+++ b/test/scheduling/engine_view_test.cpp
@@ -38,6 +38,30 @@
         const auto ended = issued.prefill == backend_id{"prefill-0"} ? outcome::prefill_failed
                                                                      : outcome::superseded;
         release(state, policy, issued.request, ended, 0, time.now());
+        answer("prefill-0");
+    }
+    /// A load report taken now.
+    void answer(const std::string& id) {
+        time.advance(1ms);
+        load_report told;
+        told.backend = backend_id{id};
+        told.sequence = static_cast<std::uint64_t>(time.now().time_since_epoch().count());
+        told.taken_at = time.now();
+        ingest_load(state, told, time.now());
+    }
+    /// \returns the decode engine that failed the request
+    backend_id break_stream(const std::string& id) {
+        const grant issued = granted(test_support::request(id, rank::urgent, time.now()));
+        release(state, policy, issued.request, outcome::decode_failed, 0, time.now());
+        return issued.decode;
+    }
+    /// Lets the links take a transfer first.
+    /// \returns the decode engine granted to a request that is then withdrawn
+    backend_id next_decode(const std::string& id) {
+        time.advance(80ms);
+        const grant issued = granted(test_support::request(id, rank::urgent, time.now()));
+        withdraw(state, issued.request, time.now());
+        return issued.decode;
     }
     void eject_first() {
         for (int count = 0; at("prefill-0").health == health::healthy; ++count) {
@@ -73,6 +97,53 @@
     CHECK(at("prefill-0").health == health::healthy);
 }
 
+TEST_CASE_FIXTURE(two_prefill_fixture, "engine, stream broke there, held back until it reports") {
+    const backend_id failed = break_stream("r");
+    for (int count = 0; count < 3; ++count) {
+        CHECK(next_decode("o" + std::to_string(count)) != failed);
+    }
+    ingest_load(state, report(failed.str(), 1, 0), time.now());
+    CHECK(next_decode("before") != failed);
+    answer(failed.str());
+    CHECK(next_decode("after") == failed);
+    CHECK(state.engines.find(failed)->health == health::healthy);
+}
+
+TEST_CASE_FIXTURE(two_prefill_fixture, "engine, prefill failed there, held back until it reports") {
+    const grant issued = granted(test_support::request("r", rank::urgent, time.now()));
+    release(state, policy, issued.request, outcome::prefill_failed, 0, time.now());
+    const grant next = granted(test_support::request("s", rank::urgent, time.now()));
+    CHECK(next.prefill != issued.prefill);
+    withdraw(state, next.request, time.now());
+    answer(issued.prefill.str());
+    step(200ms);
+    CHECK(granted(test_support::request("t", rank::urgent, time.now())).prefill == issued.prefill);
+}
+
+TEST_CASE_FIXTURE(two_prefill_fixture, "engine, failed and no report follows, hold ends") {
+    const backend_id failed = break_stream("r");
+    step(policy.longest_hold - 100ms);
+    CHECK(next_decode("before") != failed);
+    step(20ms);
+    CHECK(next_decode("after") == failed);
+}
+
+TEST_CASE_FIXTURE(two_prefill_fixture, "engine, replacement fails too, third takes over") {
+    const backend_id first = break_stream("r1");
+    const backend_id second = break_stream("r2");
+    const backend_id third = next_decode("r3");
+    CHECK(first != second);
+    CHECK(third != first);
+    CHECK(third != second);
+}
+
+TEST_CASE_FIXTURE(two_prefill_fixture, "engine, fails as the last one open, not held back") {
+    break_stream("r1");
+    break_stream("r2");
+    const backend_id last = break_stream("r3");
+    CHECK(next_decode("r4") == last);
+}
+
 TEST_CASE_FIXTURE(two_prefill_fixture, "engine, silent prefill, counted as failed once") {
     const grant issued = granted(test_support::request("r", rank::urgent, time.now()));
     step(3s);
