--- a/src/serving/daemon.cpp
+++ b/src/serving/daemon.cpp
@@ -5,15 +5,14 @@
 #include "src/core/constants.hpp"
 #include "src/core/hash.hpp"
 #include "src/core/macros.hpp"
-#include "src/engines/calls.hpp"
 #include "src/platform/etcd_store.hpp"
 #include "src/platform/guarded_store.hpp"
 #include "src/scheduling/cell_home.hpp"
 #include "src/serving/constants.hpp"
 #include "src/serving/digest_period.hpp"
 #include "src/serving/internal/checked_places.hpp"
+#include "src/serving/vm_list_follower.hpp"
 
-#include <algorithm>
 #include <glog/logging.h>
 
 namespace cicadahatch::serving {
@@ -92,15 +91,6 @@
         .build();
 }
 
-/// \returns the incarnation that runs; asks the server if this daemon has had no report of it
-incarnation incarnation_of(const backend_row& server, http::client_pool& pool) {
-    if (!server.started.empty()) {
-        return server.started;
-    }
-    const auto load = engines::fetch_load(pool, server.place);
-    return load ? load->started : incarnation{};
-}
-
 /// A drain holds for one incarnation of the backend server: "1:INCARNATION", or "0" to end it.
 std::string to_drain_value(bool is_drained, incarnation started) {
     return is_drained ? "1:" + std::to_string(started.value()) : "0";
@@ -424,13 +414,11 @@
 }
 
 void daemon::follow_vm_list() {
-    platform::vm_list_client client{to_places(configured_.platform_endpoints)};
-    http::client_pool pool;
+    vm_list_follower follower{to_places(configured_.platform_endpoints), directory_,
+                              network_->gossip()};
     while (!is_stopping_) {
         if (is_watcher()) {
-            if (const auto listed = client.fetch()) {
-                note_vms(*listed, pool);
-            }
+            follower.look();
         }
         share_platform();
         wait(vm_list_period);
@@ -445,47 +433,6 @@
     store_->set_budget(budget_of(share_, live, time_.now()));
 }
 
-void daemon::note_vms(const platform::vm_list& listed, http::client_pool& pool) {
-    for (const platform::virtual_machine& vm : listed) {
-        if (vm.state != platform::vm_state::leaving) {
-            continue;
-        }
-        const auto is_on_vm = [&](const backend_row& server) {
-            return to_string(server.place) == vm.address || server.place.host == vm.address;
-        };
-        for (const backend_row& server : directory_.select(is_on_vm)) {
-            // A VM leaves once; what is restarted at its address later is on another one.
-            if (!is_known_to_leave(server.id, vm)) {
-                note_leaving(server, vm, pool);
-            }
-        }
-    }
-}
-
-bool daemon::is_known_to_leave(const backend_id& server,
-                               const platform::virtual_machine& vm) const {
-    if (vms_left_.count({vm.id, server}) != 0) {
-        return true;
-    }
-    const auto told = network_->gossip().payloads(rpc::payload_kind::leaving_backend);
-    return std::any_of(told.begin(), told.end(), [&](const rpc::payload& value) {
-        return value.key == server.str() && value.value == vm.id;
-    });
-}
-
-void daemon::note_leaving(const backend_row& server, const platform::virtual_machine& vm,
-                          http::client_pool& pool) {
-    const incarnation started = incarnation_of(server, pool);
-    if (started.empty()) {
-        return; // It does not answer, or reports no load; the next look asks again.
-    }
-    LOG(INFO) << "platform: backend server " << server.id.str() << " is leaving";
-    vms_left_.insert({vm.id, server.id});
-    directory_.note_leaving(server.id, started);
-    network_->gossip().set_payload(rpc::payload_kind::leaving_backend, server.id.str(),
-                                   started.value(), vm.id);
-}
-
 bool daemon::shut_down() {
     LOG(INFO) << "serving: shutting down";
     drain_.begin();
--- a/src/serving/daemon.hpp
+++ b/src/serving/daemon.hpp
@@ -3,12 +3,10 @@
 #include "src/claims/claim_book.hpp"
 #include "src/configuration/holder.hpp"
 #include "src/core/result.hpp"
-#include "src/http/client_pool.hpp"
 #include "src/http/server.hpp"
 #include "src/metrics/registry.hpp"
 #include "src/orders/http_order_sender.hpp"
 #include "src/platform/store.hpp"
-#include "src/platform/vm_list.hpp"
 #include "src/serving/admin_handler.hpp"
 #include "src/serving/caller_handler.hpp"
 #include "src/serving/configuration_exchange.hpp"
@@ -23,7 +21,6 @@
 #include <condition_variable>
 #include <memory>
 #include <mutex>
-#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -76,12 +73,6 @@
     void follow_vm_list();
     /// Takes this daemon's part of the platform's rates.
     void share_platform();
-    void note_vms(const platform::vm_list& listed, http::client_pool& pool);
-    /// Whether this daemon or another has told that the server leaves because this VM does.
-    [[nodiscard]] bool is_known_to_leave(const backend_id& server,
-                                         const platform::virtual_machine& vm) const;
-    void note_leaving(const backend_row& server, const platform::virtual_machine& vm,
-                      http::client_pool& pool);
     void wait(std::chrono::milliseconds time);
     [[nodiscard]] bool drain_backend(const backend_id& backend, bool is_drained);
 
@@ -115,8 +106,6 @@
     std::unique_ptr<http::server> callers_;
     std::unique_ptr<http::server> admin_;
     rpc::traffic noted_traffic_; ///< used by the thread that drives the cells
-    std::set<std::pair<std::string, backend_id>>
-        vms_left_; ///< used by the thread that follows the VM list
     std::mutex mutex_;
     std::condition_variable stopping_;
     std::condition_variable work_;
