Tell of the death of a member that was started again before it was noticed

Cause: a daemon killed and started under its name within the detection time gave a joined event only, so the homes kept the grants of its former start, renewed under the same name. Ruled out: that the grants lapse by themselves; renew() goes by the daemon's name. Change: a record of a later start over one that is present is announced as a death first. Proof: membership.detection, 'restart, same name and later start' counts the deaths; it runs with the merged tree.

--- a/src/membership/internal/apply.cpp
+++ b/src/membership/internal/apply.cpp
@@ -38,8 +38,20 @@
     state.rumors.insert(state.rumors.begin(), {id, lasting_push_rounds, true});
 }
 
+/// A member that was started again before its death was noticed has lost what it held.
+void announce_former_death(gossip_state& state, const member_record& before,
+                           const member_record& after) {
+    const bool is_other_start = before.started != after.started;
+    if (is_other_start && is_present(before.status) && is_present(after.status)) {
+        member_record former = before;
+        former.status = member_status::dead;
+        state.events.push_back({event_kind::died, former});
+    }
+}
+
 void announce_change(gossip_state& state, const member_record& before, const member& changed) {
     const event_kind kind = event_of(before, changed.record);
+    announce_former_death(state, before, changed.record);
     state.counts.recoveries += kind == event_kind::recovered ? 1 : 0;
     state.events.push_back({kind, changed.record});
     state.near.is_stale = true;
--- a/test/membership/detection_test.cpp
+++ b/test/membership/detection_test.cpp
@@ -113,6 +113,7 @@
 
 TEST_CASE_FIXTURE(domain_fixture, "restart, same name and later start, replaces the old at once") {
     settle(7, 9, calm);
+    const std::size_t deaths = net->count_events(membership::event_kind::died);
     net->kill(3);
     const std::size_t again = net->start("d3", "a", {0});
     CHECK(net->run_until(
@@ -125,6 +126,7 @@
             return true;
         },
         1s));
+    CHECK(net->count_events(membership::event_kind::died) == deaths + 6);
 }
 
 TEST_CASE_FIXTURE(domain_fixture,
