Wait for the announced deaths in the restart test

Cause: the events of a step are handed over after it, so at the moment at which all know the later start the test saw none. The second is less than the time after which silence makes a suspicion.

--- a/test/membership/detection_test.cpp
+++ b/test/membership/detection_test.cpp
@@ -126,7 +126,8 @@
             return true;
         },
         1s));
-    CHECK(net->count_events(membership::event_kind::died) == deaths + 6);
+    CHECK(net->run_until(
+        [&] { return net->count_events(membership::event_kind::died) == deaths + 6; }, 1s));
 }
 
 TEST_CASE_FIXTURE(domain_fixture,
