Drop a second count of cells and two copies of the store's interface

Change: cell_count() alone stays; both stores derive from memory_store and override what differs. No behaviour changes. Ran: the five claims tests, guarded_store, whole_path and shared_cells pass; format and the linter over the changed units are clean.

--- a/bench/claims_bench.cpp
+++ b/bench/claims_bench.cpp
@@ -24,49 +24,30 @@
 constexpr auto measured_time = 1500ms;
 
 /// A store that takes its time over each call, and counts the bytes of writes.
-class slow_store final : public platform::store {
+class slow_store final : public test_support::memory_store {
 public:
-    explicit slow_store(const cicadahatch::clock& time) : kept_(time) {}
+    using memory_store::memory_store;
 
-    [[nodiscard]] std::uint64_t writes() const { return kept_.writes(); }
-    [[nodiscard]] std::uint64_t reads() const { return kept_.calls() - kept_.writes(); }
+    [[nodiscard]] std::uint64_t reads() const { return calls() - writes(); }
     [[nodiscard]] std::uint64_t written_bytes() const { return written_bytes_; }
 
     [[nodiscard]] result<std::optional<platform::entry>> get(const std::string& key) override {
         std::this_thread::sleep_for(store_delay);
-        return kept_.get(key);
+        return memory_store::get(key);
     }
     [[nodiscard]] result<platform::listing> list(const std::string& prefix) override {
         std::this_thread::sleep_for(store_delay);
-        return kept_.list(prefix);
+        return memory_store::list(prefix);
     }
     [[nodiscard]] result<platform::swap_outcome> swap(const std::string& key, revision expected,
                                                       const std::string& value,
                                                       platform::lease_id lease) override {
         std::this_thread::sleep_for(store_delay);
         written_bytes_ += value.size();
-        return kept_.swap(key, expected, value, lease);
-    }
-    [[nodiscard]] result<platform::swap_outcome> erase(const std::string& key,
-                                                       revision expected) override {
-        return kept_.erase(key, expected);
-    }
-    [[nodiscard]] result<platform::lease_id> grant_lease(std::chrono::seconds time) override {
-        return kept_.grant_lease(time);
-    }
-    [[nodiscard]] result<std::chrono::seconds> keep_alive(platform::lease_id lease) override {
-        return kept_.keep_alive(lease);
-    }
-    [[nodiscard]] result<void> revoke_lease(platform::lease_id lease) override {
-        return kept_.revoke_lease(lease);
-    }
-    [[nodiscard]] result<platform::change_batch> watch(const std::string& prefix, revision from,
-                                                       std::chrono::milliseconds wait) override {
-        return kept_.watch(prefix, from, wait);
+        return memory_store::swap(key, expected, value, lease);
     }
 
 private:
-    test_support::memory_store kept_;
     std::atomic<std::uint64_t> written_bytes_{0};
 };
 
--- a/src/serving/daemon.cpp
+++ b/src/serving/daemon.cpp
@@ -359,7 +359,7 @@
 void daemon::drive_orders() {
     while (!is_stopping_) {
         if (const auto services = directory_.services()) {
-            orders_->tick(broker_->host().order_cells(), *services, broker_->cells());
+            orders_->tick(broker_->host().order_cells(), *services, broker_->cell_count());
         }
         wait(order_period);
     }
--- a/src/serving/grant_broker.cpp
+++ b/src/serving/grant_broker.cpp
@@ -93,11 +93,6 @@
       host_(time, policy, directory, cancels,
             [this](const daemon_id& to, rpc::message sent) { send(to, std::move(sent)); }) {}
 
-std::size_t grant_broker::cells() const {
-    const std::lock_guard lock{mutex_};
-    return plans_.size();
-}
-
 std::size_t grant_broker::tickets() const {
     const std::lock_guard lock{mutex_};
     return tickets_.size();
--- a/src/serving/grant_broker.hpp
+++ b/src/serving/grant_broker.hpp
@@ -29,8 +29,6 @@
                  std::size_t max_engines_per_cell);
 
     [[nodiscard]] const cell_host& host() const noexcept { return host_; }
-    /// \returns the number of cells in all failure domains
-    [[nodiscard]] std::size_t cells() const;
     /// \returns tickets that wait for an answer or hold a grant
     [[nodiscard]] std::size_t tickets() const;
 
--- a/test/claims/late_write_store.hpp
+++ b/test/claims/late_write_store.hpp
@@ -15,9 +15,9 @@
 enum class write_fate { applied, reply_lost, late, unavailable };
 
 /// \brief A store whose writes may lose their reply or take effect later, when told to.
-class late_write_store final : public platform::store {
+class late_write_store final : public memory_store {
 public:
-    explicit late_write_store(const clock& time) : kept_(time) {}
+    using memory_store::memory_store;
 
     /// \brief Decides the next call: reads are applied or unavailable.
     void decide(write_fate fate) { fate_ = fate; }
@@ -26,14 +26,14 @@
     void land() {
         const late_write landed = std::move(late_.front());
         late_.pop_front();
-        std::ignore = kept_.swap(landed.key, landed.expected, landed.value, {});
+        std::ignore = memory_store::swap(landed.key, landed.expected, landed.value, {});
     }
 
     [[nodiscard]] result<std::optional<platform::entry>> get(const std::string& key) override {
-        return is_away() ? tl::unexpected(away()) : kept_.get(key);
+        return is_away() ? tl::unexpected(away()) : memory_store::get(key);
     }
     [[nodiscard]] result<platform::listing> list(const std::string& prefix) override {
-        return is_away() ? tl::unexpected(away()) : kept_.list(prefix);
+        return is_away() ? tl::unexpected(away()) : memory_store::list(prefix);
     }
     [[nodiscard]] result<platform::swap_outcome> swap(const std::string& key, revision expected,
                                                       const std::string& value,
@@ -45,29 +45,16 @@
             late_.push_back({key, expected, value});
             return failure(platform::errc::outcome_unknown);
         case write_fate::reply_lost:
-            std::ignore = kept_.swap(key, expected, value, lease);
+            std::ignore = memory_store::swap(key, expected, value, lease);
             return failure(platform::errc::outcome_unknown);
         case write_fate::applied:
             break;
         }
-        return kept_.swap(key, expected, value, lease);
+        return memory_store::swap(key, expected, value, lease);
     }
     [[nodiscard]] result<platform::swap_outcome> erase(const std::string& key,
                                                        revision expected) override {
-        return is_away() ? tl::unexpected(away()) : kept_.erase(key, expected);
-    }
-    [[nodiscard]] result<platform::lease_id> grant_lease(std::chrono::seconds time) override {
-        return kept_.grant_lease(time);
-    }
-    [[nodiscard]] result<std::chrono::seconds> keep_alive(platform::lease_id lease) override {
-        return kept_.keep_alive(lease);
-    }
-    [[nodiscard]] result<void> revoke_lease(platform::lease_id lease) override {
-        return kept_.revoke_lease(lease);
-    }
-    [[nodiscard]] result<platform::change_batch> watch(const std::string& prefix, revision from,
-                                                       std::chrono::milliseconds wait) override {
-        return kept_.watch(prefix, from, wait);
+        return is_away() ? tl::unexpected(away()) : memory_store::erase(key, expected);
     }
 
 private:
@@ -80,7 +67,6 @@
     bool is_away() { return std::exchange(fate_, write_fate::applied) == write_fate::unavailable; }
     static std::error_code away() { return make_error_code(platform::errc::unavailable); }
 
-    memory_store kept_;
     std::deque<late_write> late_;
     write_fate fate_ = write_fate::applied;
 };
--- a/test/support/memory_store.hpp
+++ b/test/support/memory_store.hpp
@@ -20,7 +20,7 @@
 };
 
 /// \brief A key-value service in this process, with faults on demand. Leases follow the clock.
-class memory_store final : public platform::store {
+class memory_store : public platform::store {
 public:
     explicit memory_store(const clock& time) : time_(time) {}
 
