Move engines between the pools as the load asks; drop late bytes of old links

Cause 1: nine engines start as four that prefill and five that decode, while the load of both deployments asks for three and six: 0.40 of the prefill engines' time is used and 0.62 of the decode engines' memory, and memory is what bursts run out of. Change: the home adds up the work offered to both pools and moves an engine once that takes a tenth off the fuller pool's use. The order goes through the product's issuer, with a lease held beforehand on a clock that goes on while the machine is suspended; the engine gets no work until it is listed in its new role. A typical step is taken at the streams that memory allows, not at all slots.

Change: a connection that its daemon has replaced is closed and not listened to.

Tests: scheduling.role_balance (any split and steady load: moves end), gateway.order_desk, gateway.gateway (an order over the wire), gateway.home_server (failed before).

--- a/programs/cicadahatchd.cpp
+++ b/programs/cicadahatchd.cpp
@@ -79,10 +79,12 @@
     // NOLINTNEXTLINE(cppcoreguidelines-pro-type-cstyle-cast): the C library's macro has the cast
     std::signal(SIGPIPE, SIG_IGN);
     const system_clock time;
+    const boot_clock lease_time;
     const auto running = gateway::gateway_builder{}
                              .settings(loaded.value)
                              .settings_file(given.settings_file)
                              .time(time)
+                             .lease_time(lease_time)
                              .platform(platform::binding())
                              .log_output(logging::output_to(STDOUT_FILENO))
                              .build();
--- a/src/cells/home.cpp
+++ b/src/cells/home.cpp
@@ -194,6 +194,12 @@
     }
 }
 
+void home::set_paused(const cell_id& cell, const backend_id& engine, bool is_paused) {
+    if (scheduling::cell_state* known = find(cell)) {
+        scheduling::set_paused(*known, engine, is_paused);
+    }
+}
+
 void home::renew(const daemon_id& connected) {
     const time_point now = time_.now();
     for (auto& [id, cell] : cells_) {
--- a/src/cells/home.hpp
+++ b/src/cells/home.hpp
@@ -53,6 +53,9 @@
     /// \brief Takes in what an engine's streams use together.
     void ingest(const scheduling::engine_usage& usage);
 
+    /// \brief Holds new work back from an engine, or ends that.
+    void set_paused(const cell_id& cell, const backend_id& engine, bool is_paused);
+
     /// \brief Runs the systems of all cells.
     void tick();
 
--- a/src/forwarding/wire_protocol.hpp
+++ b/src/forwarding/wire_protocol.hpp
@@ -50,8 +50,9 @@
 
 /// \brief What an engine says of its load, some hundred milliseconds late.
 struct engine_report {
-    std::uint32_t running = 0;     ///< requests
-    std::uint32_t used_tokens = 0; ///< memory that can't be taken away
+    std::uint32_t running = 0;      ///< requests
+    std::uint32_t used_tokens = 0;  ///< memory that can't be taken away
+    std::uint64_t orders_taken = 0; ///< since the engine's start
 };
 
 /// \brief A call of an engine's own interface.
@@ -73,6 +74,9 @@
     engine_call (*release_handle_call)(const std::string& handle) = nullptr;
     engine_call (*report_call)() = nullptr;
     result<engine_report> (*read_report)(std::string_view body) = nullptr;
+    /// An order to change the role. An engine that has taken another number of orders refuses it.
+    engine_call (*role_call)(backend_role role, const daemon_id& issuer, fencing_number number,
+                             std::uint64_t orders_taken) = nullptr;
     void (*address_call)(field_map& head, const backend_id& target) = nullptr;
     result<std::string> (*read_hold)(std::string_view body) = nullptr;
     result<prefill_result> (*read_prefill)(std::string_view body) = nullptr;
--- a/src/gateway/cell_parts.cpp
+++ b/src/gateway/cell_parts.cpp
@@ -81,4 +81,16 @@
     return policy;
 }
 
+scheduling::role_rule gateway_role_rule(std::chrono::milliseconds change_time) {
+    scheduling::role_rule rule;
+    rule.evens_out = true;
+    rule.smoothing = 3s;
+    rule.settled = 1s;
+    rule.settled_for_prefill = 2 * change_time;
+    rule.settled_without_engine = change_time;
+    // The effect of a change has been seen for as long as the change took.
+    rule.spacing = 2 * change_time;
+    return rule;
+}
+
 } // namespace cicadahatch::gateway
--- a/src/gateway/cell_parts.hpp
+++ b/src/gateway/cell_parts.hpp
@@ -2,6 +2,7 @@
 
 #include "src/cells/home.hpp"
 #include "src/forwarding/gateway_state.hpp"
+#include "src/scheduling/role_change.hpp"
 
 namespace cicadahatch::gateway {
 
@@ -12,4 +13,8 @@
 /// \returns how the cells of a gateway decide
 [[nodiscard]] scheduling::cell_policy gateway_policy();
 
+/// \returns when engines are moved between the pools
+/// \param change_time until an engine works in its new role
+[[nodiscard]] scheduling::role_rule gateway_role_rule(std::chrono::milliseconds change_time);
+
 } // namespace cicadahatch::gateway
--- a/src/gateway/constants.hpp
+++ b/src/gateway/constants.hpp
@@ -42,6 +42,30 @@
 /// Age of an engine's figures: they are as of some hundred milliseconds before.
 inline constexpr std::chrono::milliseconds report_lag{500};
 
+/// Time over which the work offered to the pools is added up: some requests, where there are any.
+inline constexpr std::chrono::milliseconds observation_period{500};
+
+/// Time for which a cell's lease is tried for: the one before lapses within a few seconds.
+inline constexpr std::chrono::seconds lease_patience{15};
+
+/// Time between two looks at the held leases: several within a third of the shortest, after which
+/// they are renewed.
+inline constexpr std::chrono::milliseconds lease_poll{250};
+
+/// Time between two tries to take a lease that is held by another, or that the store did not grant.
+inline constexpr std::chrono::milliseconds lease_retry{1000};
+
+/// Time without requests after which a cell's lease is given up: another daemon may be its home.
+inline constexpr std::chrono::seconds lease_idle{10};
+
+/// Part of a lease that is never used: a store that answers late, and an order on its way.
+inline constexpr std::chrono::seconds lease_margin{1};
+
+/// An engine that was ordered to change its role finishes its streams first, which takes a long one
+/// about this; then it changes, which may take longer than stated.
+inline constexpr std::chrono::seconds engine_finish_time{10};
+inline constexpr int change_periods = 2;
+
 /// Period of the work that no event triggers.
 inline constexpr std::chrono::milliseconds tend_period{100};
 
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -37,6 +37,11 @@
     return *this;
 }
 
+gateway_builder& gateway_builder::lease_time(const clock& source) {
+    lease_time_ = &source;
+    return *this;
+}
+
 gateway_builder& gateway_builder::platform(platform_binding binding) {
     binding_ = std::move(binding);
     return *this;
@@ -48,7 +53,8 @@
 }
 
 result<std::unique_ptr<gateway_daemon>> gateway_builder::build() const {
-    auto built = std::make_unique<gateway_daemon::parts>(configured_, settings_file_, *time_,
+    const gateway_clocks clocks{*time_, *lease_time_};
+    auto built = std::make_unique<gateway_daemon::parts>(configured_, settings_file_, clocks,
                                                          binding_, out_);
     const auto opened = built->open();
     if (!opened) {
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -19,6 +19,12 @@
     forwarding::wire_protocol wire;
 };
 
+/// \brief The clocks of a gateway.
+struct gateway_clocks {
+    const clock& time;
+    const clock& lease_time; ///< goes on while the machine is suspended
+};
+
 /// \brief A daemon that serves the backend servers registered in the store.
 /// \sa gateway_builder
 class gateway_daemon {
@@ -54,6 +60,8 @@
     gateway_builder& settings_file(std::string file);
     /// \param source outlives the daemon
     gateway_builder& time(const clock& source);
+    /// \param source goes on while the machine is suspended; outlives the daemon
+    gateway_builder& lease_time(const clock& source);
     gateway_builder& platform(platform_binding binding);
     gateway_builder& log_output(logging::event_log::output out);
 
@@ -64,6 +72,7 @@
     settings::gateway_settings configured_;
     std::string settings_file_;
     const clock* time_ = nullptr;
+    const clock* lease_time_ = nullptr;
     platform_binding binding_;
     logging::event_log::output out_;
 };
--- a/src/gateway/home_server.cpp
+++ b/src/gateway/home_server.cpp
@@ -38,10 +38,8 @@
 
 void home_server::on_messages(const std::shared_ptr<peer_channel>& from, const daemon_id& peer,
                               const std::vector<rpc::message>& received) {
-    auto& known = by_daemon_[peer];
-    if (known != from) {
-        state_.log.write(logging::weight::notable, "home.joined", {{"peer", peer.str()}});
-        known = from;
+    if (!join(from, peer)) {
+        return;
     }
     home_.renew(peer);
     for (const rpc::message& message : received) {
@@ -51,6 +49,27 @@
     schedule();
 }
 
+bool home_server::join(const std::shared_ptr<peer_channel>& from, const daemon_id& peer) {
+    auto& known = by_daemon_[peer];
+    if (known == from) {
+        return true;
+    }
+    const auto opened = [this](const std::shared_ptr<peer_channel>& channel) {
+        return std::find(channels_.begin(), channels_.end(), channel);
+    };
+    const bool is_superseded = known && known->is_open() && opened(from) < opened(known);
+    const std::shared_ptr<peer_channel> left = is_superseded ? from : known;
+    state_.log.write(logging::weight::notable, is_superseded ? "home.superseded" : "home.joined",
+                     {{"peer", peer.str()}});
+    if (!is_superseded) {
+        known = from;
+    }
+    if (left) {
+        left->close();
+    }
+    return !is_superseded;
+}
+
 void home_server::note_doubt(const rpc::message& message) {
     const auto* ended = std::get_if<rpc::release>(&message);
     if (ended == nullptr) {
@@ -174,6 +193,11 @@
     schedule();
 }
 
+void home_server::set_paused(const cell_id& cell, const backend_id& engine, bool is_paused) {
+    home_.set_paused(cell, engine, is_paused);
+    schedule();
+}
+
 void home_server::leave() {
     home_.leave();
     schedule();
--- a/src/gateway/home_server.hpp
+++ b/src/gateway/home_server.hpp
@@ -29,12 +29,19 @@
     /// \brief Does the work that no message triggers; to be called some times a second.
     void tend();
 
+    /// \brief Holds new work back from an engine, or ends that.
+    void set_paused(const cell_id& cell, const backend_id& engine, bool is_paused);
+
     [[nodiscard]] const cells::home& cells() const noexcept { return home_; }
 
 private:
     void accept(forwarding::tcp::socket socket);
     void on_messages(const std::shared_ptr<peer_channel>& from, const daemon_id& peer,
                      const std::vector<rpc::message>& received);
+    /// Makes a connection the one on which a daemon is answered, unless it has opened a later one.
+    /// Bytes that a cut has held up arrive on a connection that its daemon has given up long ago.
+    /// \returns whether the connection is in use
+    [[nodiscard]] bool join(const std::shared_ptr<peer_channel>& from, const daemon_id& peer);
     /// Streams that failed may go on at their engine for a while.
     void note_doubt(const rpc::message& message);
     /// Daemons that died may have left streams at the engines of a cell that this home has taken
@@ -53,7 +60,7 @@
     cells::home home_;
     listener listener_;
     forwarding::asio::steady_timer timer_;
-    std::vector<std::shared_ptr<peer_channel>> channels_;
+    std::vector<std::shared_ptr<peer_channel>> channels_; ///< in the order of their opening
     std::map<daemon_id, std::shared_ptr<peer_channel>> by_daemon_; ///< the latest of each
     time_point ran_at_;
     time_point signed_at_; ///< when the last signs of life were sent
--- a/src/gateway/internal/parts.cpp
+++ b/src/gateway/internal/parts.cpp
@@ -2,6 +2,7 @@
 
 #include "src/core/hash.hpp"
 #include "src/gateway/cell_parts.hpp"
+#include "src/gateway/constants.hpp"
 #include "src/metrics/exposition.hpp"
 #include "src/settings/load.hpp"
 
@@ -70,13 +71,16 @@
 } // namespace
 
 gateway_daemon::parts::parts(settings::gateway_settings configured, std::string file,
-                             const clock& time, const platform_binding& binding,
+                             const gateway_clocks& clocks, const platform_binding& binding,
                              logging::event_log::output out)
-    : configured_(std::move(configured)), file_(std::move(file)), time_(time), binding_(binding),
-      log_(time, configured_.name.str(), {}, std::move(out)),
-      recorded_(time), state_{loop_,   time,      binding_.wire,      log_,
-                              values_, recorded_, configured_.domain, rules_of(configured_)},
+    : configured_(std::move(configured)), file_(std::move(file)), time_(clocks.time),
+      lease_time_(clocks.lease_time), binding_(binding),
+      log_(time_, configured_.name.str(), {}, std::move(out)),
+      recorded_(time_), state_{loop_,   time_,     binding_.wire,      log_,
+                               values_, recorded_, configured_.domain, rules_of(configured_)},
       homes_(state_, gateway_policy()), places_(state_, configured_.name),
+      roles_(state_, homes_, lease_time_, configured_.name,
+             configured_.bounds.engines_check_fencing),
       callers_(loop_, [this](forwarding::tcp::socket socket) { accept_caller(std::move(socket)); }),
       readiness_(loop_,
                  [this](forwarding::tcp::socket socket) {
@@ -119,6 +123,7 @@
     follower_ = std::make_unique<discovery::follower>(
         *guarded_, binding_.entries, rules, time_,
         discovery::registered_daemon{configured_.name, *peers});
+    open_desk(*store_place);
     if (const auto opened = homes_.open(*peers); !opened) {
         return opened;
     }
@@ -134,6 +139,21 @@
     return readiness_.open(*readiness);
 }
 
+void gateway_daemon::parts::open_desk(const http::endpoint& store_place) {
+    orders::issuer_limits limits;
+    limits.lease = std::chrono::ceil<std::chrono::seconds>(configured_.bounds.order_lease);
+    limits.margin = lease_margin;
+    // An order is taken or refused as it arrives, on a connection opened for it or in use.
+    limits.longest_order = std::chrono::ceil<std::chrono::seconds>(configured_.bounds.transit);
+    limits.connection_idle = 0s;
+    desk_ = std::make_unique<order_desk>(
+        binding_.make_store(store_place), lease_time_, configured_.name, limits,
+        [this](const cell_id& cell, const std::optional<orders::order_permit>& permit) {
+            asio::post(loop_, [this, cell, permit] { roles_.on_permit(cell, permit); });
+        });
+    roles_.set_desk(desk_.get());
+}
+
 bool gateway_daemon::parts::run() {
     for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
         signals_.add(number);
@@ -286,6 +306,7 @@
     state_.connections.close_stale(now);
     homes_.tend();
     places_.tend();
+    roles_.tend();
     std::erase_if(open_callers_, [](const auto& row) { return row.expired(); });
     if (!state_.is_stopping) {
         return;
--- a/src/gateway/internal/parts.hpp
+++ b/src/gateway/internal/parts.hpp
@@ -5,7 +5,9 @@
 #include "src/gateway/gateway_daemon.hpp"
 #include "src/gateway/home_server.hpp"
 #include "src/gateway/listener.hpp"
+#include "src/gateway/order_desk.hpp"
 #include "src/gateway/placement_client.hpp"
+#include "src/gateway/role_orders.hpp"
 #include "src/store/guarded_store.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -20,10 +22,11 @@
 /// \brief The parts of a gateway daemon: the event loop with its listeners, and the thread that
 /// follows the store.
 struct gateway_daemon::parts {
-    parts(settings::gateway_settings configured, std::string file, const clock& time,
+    parts(settings::gateway_settings configured, std::string file, const gateway_clocks& clocks,
           const platform_binding& binding, logging::event_log::output out);
 
     [[nodiscard]] result<void> open();
+    void open_desk(const http::endpoint& store_place);
     [[nodiscard]] bool run();
     void stop_following();
     void post_shutdown();
@@ -53,6 +56,7 @@
     settings::gateway_settings configured_;
     std::string file_;
     const clock& time_;
+    const clock& lease_time_;
     platform_binding binding_;
     forwarding::asio::io_context loop_{1};
     logging::event_log log_;
@@ -61,6 +65,7 @@
     forwarding::gateway_state state_;
     home_server homes_;
     placement_client places_;
+    role_orders roles_;
     listener callers_;
     listener readiness_;
     listener metrics_;
@@ -74,6 +79,7 @@
     std::unique_ptr<store::guarded_store> guarded_;
     std::unique_ptr<discovery::follower> follower_;
     std::thread following_;
+    std::unique_ptr<order_desk> desk_;
 };
 
 } // namespace cicadahatch::gateway
--- a/src/scheduling/cell_inputs.cpp
+++ b/src/scheduling/cell_inputs.cpp
@@ -184,6 +184,8 @@
     request.serial = state.next_serial++;
     estimate_output(state, policy, request);
     internal::predict_request(state, policy, request);
+    state.offered.prefill_seconds += request.prefill_seconds;
+    state.offered.slot_seconds += request.slot_seconds;
     state.arrivals.push_back(request.id);
     internal::enqueue(state, std::move(request));
     return {};
--- a/src/scheduling/cell_state.hpp
+++ b/src/scheduling/cell_state.hpp
@@ -77,7 +77,13 @@
     double prefill_tokens_per_second = 0; ///< of a typical engine, as observed
     double prefill_overhead_seconds = 0;
     double transfer_seconds_per_token = 0;
-    double step_seconds = 0; ///< of a typical engine with all slots used
+    double step_seconds = 0; ///< of a typical engine with all slots used that its memory allows
+};
+
+/// \brief Work that requests have brought since the cell was set up, whether it was granted or not.
+struct offered_work {
+    double prefill_seconds = 0; ///< of an engine
+    double slot_seconds = 0;    ///< of decode slots
 };
 
 /// \brief Everything that one cell's home knows. Plain tables; the systems run over them.
@@ -98,6 +104,7 @@
     std::optional<time_point> home_since; ///< set while live grants are being registered
     std::set<daemon_id> unregistered;     ///< daemons that have not answered the new home
     cell_capacity capacity;
+    offered_work offered;
     std::unordered_map<service_id, double> output_scale;  ///< observed over expected output
     std::unordered_map<service_id, length_model> lengths; ///< of finished streams
     time_point last_tick;
--- a/src/scheduling/role_change.cpp
+++ b/src/scheduling/role_change.cpp
@@ -19,11 +19,43 @@
     return backend_role::plain;
 }
 
+/// Use of the fuller pool if the pools had other numbers of engines.
+double fuller_use(const role_balance& balance, std::uint32_t prefill_engines,
+                  std::uint32_t decode_engines) {
+    const double prefill = balance.prefill_use * balance.prefill_engines / prefill_engines;
+    const double decode = balance.decode_use * balance.decode_engines / decode_engines;
+    return std::max(prefill, decode);
+}
+
+/// \returns the pool for which one engine more lowers the use of the fuller one, or plain
+backend_role relieved_pool(const role_balance& balance, const role_rule& rule) {
+    const std::uint32_t prefills = balance.prefill_engines;
+    const std::uint32_t decodes = balance.decode_engines;
+    const double present = fuller_use(balance, prefills, decodes);
+    if (present < rule.least_use) {
+        return backend_role::plain;
+    }
+    const double wanted = present * (1 - rule.least_gain);
+    if (prefills > rule.least_kept && fuller_use(balance, prefills - 1, decodes + 1) <= wanted) {
+        return backend_role::decode;
+    }
+    if (decodes > rule.least_kept && fuller_use(balance, prefills + 1, decodes - 1) <= wanted) {
+        return backend_role::prefill;
+    }
+    return backend_role::plain;
+}
+
 backend_role pressed_pool(const role_balance& balance, const role_rule& rule) {
     const backend_role missing = role_without_engine(balance);
     if (missing != backend_role::plain) {
         return missing;
     }
+    if (balance.prefill_engines == 0) {
+        return backend_role::plain;
+    }
+    if (rule.evens_out) {
+        return relieved_pool(balance, rule);
+    }
     if (balance.prefill_use > rule.pressed_use && balance.prefill_use > balance.decode_use) {
         return backend_role::prefill;
     }
@@ -43,6 +75,21 @@
 
 } // namespace
 
+pool_use use_between(const offered_work& before, const offered_work& after,
+                     const cell_capacity& capacity, duration between) {
+    const double seconds = std::chrono::duration<double>(between).count();
+    pool_use use;
+    if (capacity.prefill_engines > 0 && seconds > 0) {
+        const double asked = after.prefill_seconds - before.prefill_seconds;
+        use.prefill = asked / seconds / capacity.prefill_engines;
+    }
+    if (capacity.slots > 0 && seconds > 0) {
+        const double asked = after.slot_seconds - before.slot_seconds;
+        use.decode = asked / seconds / capacity.slots;
+    }
+    return use;
+}
+
 void observe_use(role_balance& balance, const role_rule& rule, double prefill_use,
                  double decode_use, duration since_last, time_point now) {
     const double weight =
@@ -64,19 +111,23 @@
 std::optional<backend_role> wanted_role_change(const role_balance& balance, const role_rule& rule,
                                                time_point now) {
     const bool is_without_engine = role_without_engine(balance) != backend_role::plain;
-    const duration settled = is_without_engine ? rule.settled_without_engine : rule.settled;
+    const bool needs_prefill = balance.pressed == backend_role::prefill;
+    const duration usual = needs_prefill ? rule.settled_for_prefill : rule.settled;
+    const duration settled = is_without_engine ? rule.settled_without_engine : usual;
     if (!balance.pressed_since || now - *balance.pressed_since < settled) {
         return std::nullopt;
     }
     if (balance.changed_at && now - *balance.changed_at < rule.spacing) {
         return std::nullopt;
     }
-    const bool needs_prefill = balance.pressed == backend_role::prefill;
     if (is_without_engine) {
         const std::uint32_t giving =
             needs_prefill ? balance.decode_engines : balance.prefill_engines;
         return giving >= smallest_giving_pool ? std::optional{balance.pressed} : std::nullopt;
     }
+    if (rule.evens_out) {
+        return balance.pressed;
+    }
     const bool can_give = needs_prefill
                               ? can_give_engine(balance.decode_use, balance.decode_engines, rule)
                               : can_give_engine(balance.prefill_use, balance.prefill_engines, rule);
--- a/src/scheduling/role_change.hpp
+++ b/src/scheduling/role_change.hpp
@@ -2,6 +2,7 @@
 
 #include "src/core/clock.hpp"
 #include "src/core/identifiers.hpp"
+#include "src/scheduling/cell_state.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -26,12 +27,33 @@
     double pressed_use = 0.9; ///< a pool above this is pressed
     double idle_use = 0.6;    ///< the other must stay below this after giving an engine
     duration settled = std::chrono::seconds{30}; ///< how long the pressure must last
+    /// The same where a decode engine is to be given: it has streams to finish, and prefill engines
+    /// that are out of reach for a while must not cost one.
+    duration settled_for_prefill = std::chrono::seconds{30};
     /// The same for a pool without engines. Longer than the first ejection with its probe.
     duration settled_without_engine = std::chrono::seconds{3};
     duration spacing = std::chrono::seconds{120};  ///< between two changes
     duration smoothing = std::chrono::seconds{10}; ///< time constant of the use
+    /// Whether engines are moved as soon as that lowers the use of the fuller pool, so that both
+    /// stand the same rush, rather than once a pool is pressed.
+    bool evens_out = false;
+    double least_use = 0.25;      ///< of the fuller pool; below it nothing is gained by a move
+    double least_gain = 0.1;      ///< part of the fuller pool's use that a move must take away
+    std::uint32_t least_kept = 2; ///< engines left in a pool that gives one, so that one may fail
 };
 
+/// \brief Part of what two pools supply that is asked of them; above one where more is asked.
+struct pool_use {
+    double prefill = 0;
+    double decode = 0;
+};
+
+/// \returns the use by the requests that came between two moments. Both pools are measured by the
+/// same requests, so that streams, which take seconds to fill a pool, don't count too little when
+/// the load rises.
+[[nodiscard]] pool_use use_between(const offered_work& before, const offered_work& after,
+                                   const cell_capacity& capacity, duration between);
+
 /// \brief Takes in one observation of both pools.
 void observe_use(role_balance& balance, const role_rule& rule, double prefill_use,
                  double decode_use, duration since_last, time_point now);
--- a/src/scheduling/systems/predict.cpp
+++ b/src/scheduling/systems/predict.cpp
@@ -56,7 +56,7 @@
     capacity.slots += slots;
     capacity.free_slots += std::max(0.0, slots - used);
     sums.bytes_per_token += on.spec.kv_bytes_per_token;
-    sums.step_seconds += internal::step_seconds(on, on.spec.slots);
+    sums.step_seconds += internal::step_seconds(on, static_cast<std::uint32_t>(slots));
     ++capacity.decode_engines;
 }
 
--- a/src/serving/order_roles.cpp
+++ b/src/serving/order_roles.cpp
@@ -64,6 +64,7 @@
 scheduling::role_rule role_rule_of(const settings::order_rules& rules) {
     scheduling::role_rule rule;
     rule.settled = rules.pressure_settled;
+    rule.settled_for_prefill = rules.pressure_settled;
     rule.smoothing = duration{rules.pressure_settled} / smoothings_per_settling;
     rule.spacing = rules.role_change_spacing;
     return rule;
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -33,6 +33,8 @@
     double retry_ratio = 0.1;                      ///< retries for each request of a service
     std::uint32_t retry_extra = 10;                ///< beside them in each window, all daemons
     std::chrono::milliseconds transit{120};        ///< of an event from its engine to the caller
+    std::chrono::milliseconds order_lease{3000};   ///< between orders of two daemons to one engine
+    bool engines_check_fencing = false; ///< engines refuse orders under old fencing numbers
 };
 
 /// \brief Settings of a daemon that serves the backend servers registered in the store.
--- a/src/settings/internal/gateway_fields.cpp
+++ b/src/settings/internal/gateway_fields.cpp
@@ -52,6 +52,10 @@
                    "retries of a service in each window beside the ratio, from all daemons"),
         make_field("transit_ms", &installation_bounds::transit, short_time(),
                    "longest time of an event from its engine to the caller"),
+        make_field("order_lease_ms", &installation_bounds::order_lease, short_time(),
+                   "least time between orders of two daemons to one engine"),
+        make_field("engines_check_fencing", &installation_bounds::engines_check_fencing, boolean(),
+                   "whether engines refuse orders under old fencing numbers"),
     };
 }
 
--- a/test/balancing/choice_test.cpp
+++ b/test/balancing/choice_test.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "src/balancing/choice.hpp"
 #include "src/core/manual_clock.hpp"
 
--- a/test/cells/home_test.cpp
+++ b/test/cells/home_test.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "src/cells/home.hpp"
 #include "src/core/manual_clock.hpp"
 
--- a/test/claims/interleavings_invariant_test.cpp
+++ b/test/claims/interleavings_invariant_test.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "test/claims/interleavings.hpp"
 
 using cicadahatch::test_support::check;
--- a/test/claims/schedules_invariant_test.cpp
+++ b/test/claims/schedules_invariant_test.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "test/claims/claimer.hpp"
 #include "test/claims/late_write_store.hpp"
 
--- a/test/configuration/publish_invariant_test.cpp
+++ b/test/configuration/publish_invariant_test.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "cicadahatch/configuration"
 #include "test/support/choices.hpp"
 #include "test/support/late_store.hpp"
--- a/test/discovery/follower_test.cpp
+++ b/test/discovery/follower_test.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "src/discovery/follower.hpp"
 #include "test/support/memory_store.hpp"
 
--- a/test/engines/decode_stream_test.cpp
+++ b/test/engines/decode_stream_test.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "src/engines/decode_stream.hpp"
 
 #include "cicadahatch/http"
--- a/test/forwarding/event_splitter_test.cpp
+++ b/test/forwarding/event_splitter_test.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "src/core/random.hpp"
 #include "src/forwarding/event_splitter.hpp"
 
--- a/test/forwarding/header_fields_test.cpp
+++ b/test/forwarding/header_fields_test.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "src/forwarding/header_fields.hpp"
 
 #include <doctest/doctest.h>
--- a/test/gateway/gateway_test.cpp
+++ b/test/gateway/gateway_test.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "cicadahatch/core"
 #include "platform/binding.hpp"
 #include "test/support/platform_site.hpp"
@@ -50,6 +49,7 @@
 struct gateway_fixture {
     test_support::platform_site site;
     system_clock time;
+    boot_clock lease_time;
     settings::gateway_settings configured;
     std::unique_ptr<gateway::gateway_daemon> daemon;
     std::thread serving;
@@ -85,6 +85,7 @@
         auto built = gateway::gateway_builder{}
                          .settings(configured)
                          .time(time)
+                         .lease_time(lease_time)
                          .platform(platform::binding())
                          .log_output([this](std::string_view line) { return note(line); })
                          .build();
@@ -254,6 +255,46 @@
     CHECK(site.count("x-1", "/cicadahatch/report") > 0);
 }
 
+TEST_CASE_FIXTURE(gateway_fixture, "pools, decode much the fuller one, a prefill engine is ordered "
+                                   "to decode") {
+    for (const std::string name : {"p-2", "p-3", "p-4"}) {
+        site.add_engine(name, "model", "prefill");
+    }
+    site.add_engine("x-2", "model", "decode");
+    REQUIRE(eventually([this] { return has_logged("p-4") && has_logged("x-2"); }));
+    engine_script lasting;
+    lasting.events = 60;
+    site.set_script("x-1", lasting);
+    site.set_script("x-2", lasting);
+    // The order waits until those of a former issuer can't arrive any more.
+    const auto has_order = [this] { return site.count("", "/cicadahatch/order") > 0; };
+    const auto until = std::chrono::steady_clock::now() + 20s;
+    const std::string head = "X-Cicadahatch-Token-Usage: 100,900\r\n";
+    constexpr int callers_at_once = 8;
+    std::vector<std::thread> loading;
+    for (int number = 0; number < callers_at_once; ++number) {
+        loading.emplace_back([&] {
+            while (!has_order() && std::chrono::steady_clock::now() < until) {
+                static_cast<void>(call("POST", "/stream/x", head, "prompt"));
+            }
+        });
+    }
+    for (std::thread& one : loading) {
+        one.join();
+    }
+    REQUIRE(has_order());
+    const auto seen = site.seen();
+    const auto order = std::find_if(seen.begin(), seen.end(), [](const auto& row) {
+        return row.target == "/cicadahatch/order";
+    });
+    REQUIRE(order != seen.end());
+    CHECK(order->engine.starts_with("p-"));
+    CHECK(order->body.find(R"("stage":"decode")") != std::string::npos);
+    CHECK(order->body.find(R"("holder":"d1")") != std::string::npos);
+    CHECK(test_support::value_of(*order, "X-Cicadahatch-Target-Instance") == order->engine);
+    CHECK(eventually([this] { return has_logged("order.sent"); }));
+}
+
 TEST_CASE_FIXTURE(gateway_fixture, "success, not signed or not whole, does not reach the caller") {
     for (const auto answer :
          {plain_answer::unsigned_200, plain_answer::cut_short, plain_answer::garbage}) {
--- /dev/null
+++ b/test/gateway/home_server_test.cpp
@@ -0,0 +1,137 @@
+#include "cicadahatch/core"
+#include "platform/binding.hpp"
+#include "src/gateway/cell_parts.hpp"
+#include "src/gateway/home_server.hpp"
+
+#include <doctest/doctest.h>
+#include <functional>
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace cicadahatch;
+namespace asio = forwarding::asio;
+using forwarding::tcp;
+
+/// A daemon's connection to the home, with what it has received.
+struct peer_connection {
+    std::shared_ptr<gateway::peer_channel> channel;
+    std::vector<rpc::message> received;
+
+    [[nodiscard]] bool has_grant(const std::string& request) const {
+        return std::any_of(received.begin(), received.end(), [&](const rpc::message& message) {
+            const auto* granted = std::get_if<rpc::granted>(&message);
+            return granted != nullptr && granted->request == request_id{request};
+        });
+    }
+};
+
+struct home_fixture {
+    system_clock time;
+    asio::io_context loop{1};
+    logging::event_log log{time, "home", {}, [this](std::string_view line) {
+                               written.append(line);
+                               return true;
+                           }};
+    std::string written;
+    metrics::registry values;
+    metrics::request_recorder recorded{time};
+    gateway::platform_binding binding = platform::binding();
+    forwarding::gateway_state state{loop,   time,     binding.wire,   log,
+                                    values, recorded, domain_id{"a"}, {}};
+    gateway::home_server homes{state, gateway::gateway_policy()};
+    tcp::endpoint place;
+
+    home_fixture() {
+        routing::configuration configured;
+        configured.version = 1;
+        routing::engine_traits traits;
+        traits.slots = 8;
+        traits.kv_tokens = 100'000;
+        configured.services.push_back({service_id{"model"}, 10, traits});
+        state.table = std::make_shared<const routing::route_table>(std::move(configured));
+        state.daemon_names = {daemon_id{"d1"}};
+        std::vector<discovery::directory_change> changes;
+        state.backends.upsert(engine("p-1", backend_role::prefill), changes);
+        state.backends.upsert(engine("p-2", backend_role::prefill), changes);
+        state.backends.upsert(engine("x-1", backend_role::decode), changes);
+        tcp::acceptor probe{loop, tcp::endpoint{asio::ip::make_address("127.0.0.1"), 0}};
+        place = probe.local_endpoint();
+        probe.close();
+        REQUIRE(homes.open(http::endpoint{"127.0.0.1", place.port()}));
+    }
+    static discovery::backend engine(const std::string& id, backend_role role) {
+        discovery::backend made;
+        made.id = backend_id{id};
+        made.service = service_id{"model"};
+        made.place = http::endpoint{"127.0.0.1", 1};
+        made.role = role;
+        made.slots = 8;
+        return made;
+    }
+    bool runs_until(const std::function<bool()>& holds, std::chrono::milliseconds at_most = 5s) {
+        const auto until = std::chrono::steady_clock::now() + at_most;
+        while (!holds() && std::chrono::steady_clock::now() < until) {
+            loop.run_for(2ms);
+            loop.restart();
+        }
+        return holds();
+    }
+    std::shared_ptr<peer_connection> connect(const std::string& daemon) {
+        auto made = std::make_shared<peer_connection>();
+        made->channel = std::make_shared<gateway::peer_channel>(loop, time);
+        made->channel->on_messages(
+            [row = made.get()](const daemon_id&, const std::vector<rpc::message>& messages) {
+                row->received.insert(row->received.end(), messages.begin(), messages.end());
+            });
+        bool is_open = false;
+        made->channel->open(daemon_id{daemon}, daemon_id{"home"}, place, [&] { is_open = true; });
+        REQUIRE(runs_until([&] { return is_open; }));
+        rpc::register_grants nothing;
+        nothing.cell = cell_id{"model"};
+        nothing.is_last = true;
+        made->channel->send({nothing});
+        return made;
+    }
+    static rpc::acquire ask(const std::string& request) {
+        rpc::acquire asked;
+        asked.request = request_id{request};
+        asked.attempt = attempt_number{1};
+        asked.cell = cell_id{"model"};
+        asked.service = service_id{"model"};
+        asked.work_rank = rank::urgent;
+        asked.prompt_tokens = 1000;
+        asked.max_output_tokens = 1000;
+        asked.first_token_target = 2s;
+        return asked;
+    }
+};
+
+TEST_CASE_FIXTURE(home_fixture, "daemon, asks on its connection, is answered there") {
+    const auto only = connect("d1");
+    only->channel->send({ask("r1")});
+    CHECK(runs_until([&] { return only->has_grant("r1"); }));
+}
+
+TEST_CASE_FIXTURE(home_fixture,
+                  "daemon, late bytes on a connection that it has replaced, don't count") {
+    const auto before = connect("d1");
+    before->channel->send({ask("r1")});
+    REQUIRE(runs_until([&] { return before->has_grant("r1"); }));
+    // The home hears nothing of the end of the first connection, as behind a cut.
+    const auto after = connect("d1");
+    after->channel->send({ask("r2")});
+    REQUIRE(runs_until([&] { return after->has_grant("r2"); }));
+
+    before->channel->send({ask("r3")});
+    runs_until([&] { return !before->channel->is_open(); });
+    CHECK_FALSE(before->channel->is_open());
+    CHECK_FALSE(before->has_grant("r3"));
+    const auto& cell = homes.cells().cells().at(cell_id{"model"});
+    CHECK(cell.grants.size() == 1);
+
+    after->channel->send({ask("r4")});
+    CHECK(runs_until([&] { return after->has_grant("r4"); }));
+}
+
+} // namespace
--- a/test/invariants/not_run_invariant_process_test.cpp
+++ b/test/invariants/not_run_invariant_process_test.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "test/support/backend_control.hpp"
 #include "test/support/cluster.hpp"
 #include "test/support/http_calls.hpp"
--- a/test/membership/detection_test.cpp
+++ b/test/membership/detection_test.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "test/support/gossip_network.hpp"
 
 #include <algorithm>
--- a/test/metrics/latency_histogram_test.cpp
+++ b/test/metrics/latency_histogram_test.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "cicadahatch/core"
 #include "cicadahatch/metrics"
 
--- a/test/platform/entries_test.cpp
+++ b/test/platform/entries_test.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "platform/entries.hpp"
 #include "test/support/platform_site.hpp"
 
--- a/test/platform/kv_store_test.cpp
+++ b/test/platform/kv_store_test.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "platform/kv_store.hpp"
 #include "src/store/error.hpp"
 #include "test/support/platform_site.hpp"
--- a/test/routing/route_table_test.cpp
+++ b/test/routing/route_table_test.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "src/routing/route_table.hpp"
 
 #include <doctest/doctest.h>
--- a/test/rpc/peer_link_test.cpp
+++ b/test/rpc/peer_link_test.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "cicadahatch/rpc"
 #include "src/rpc/internal/link_proof.hpp"
 #include "test/support/http_calls.hpp"
--- a/test/scheduling/replay_invariant_test.cpp
+++ b/test/scheduling/replay_invariant_test.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "bench/replay/routers.hpp"
 #include "bench/replay/summary.hpp"
 #include "test/support/scheduling_invariants.hpp"
--- /dev/null
+++ b/test/scheduling/role_balance_test.cpp
@@ -0,0 +1,143 @@
+#include "cicadahatch/scheduling"
+
+#include <doctest/doctest.h>
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace cicadahatch;
+using namespace scheduling;
+
+struct pools_fixture {
+    role_balance pools;
+    role_rule rule;
+    time_point now{1h};
+
+    pools_fixture() {
+        rule.evens_out = true;
+        rule.smoothing = 1s;
+        rule.settled = 1s;
+        rule.settled_for_prefill = 12s;
+        rule.spacing = 12s;
+    }
+    void set_engines(std::uint32_t prefill, std::uint32_t decode) {
+        pools.prefill_engines = prefill;
+        pools.decode_engines = decode;
+    }
+    /// Offers the same work for a while; the part of a pool that it takes falls with the engines.
+    void offer(double prefill_engines_busy, double decode_engines_busy, duration lasting) {
+        constexpr auto period = 500ms;
+        for (const time_point until = now + lasting; now < until; now += period) {
+            observe_use(pools, rule, prefill_engines_busy / pools.prefill_engines,
+                        decode_engines_busy / pools.decode_engines, period, now);
+        }
+    }
+    [[nodiscard]] std::optional<backend_role> wanted() const {
+        return wanted_role_change(pools, rule, now);
+    }
+    /// Follows the rule until it is content.
+    /// \returns the moves made
+    int follow(double prefill_engines_busy, double decode_engines_busy, int most) {
+        for (int moves = 0; moves < most; ++moves) {
+            offer(prefill_engines_busy, decode_engines_busy, 30s);
+            const auto next = wanted();
+            if (!next) {
+                return moves;
+            }
+            const int to_decode = *next == backend_role::decode ? 1 : -1;
+            set_engines(
+                static_cast<std::uint32_t>(static_cast<int>(pools.prefill_engines) - to_decode),
+                static_cast<std::uint32_t>(static_cast<int>(pools.decode_engines) + to_decode));
+            pools.changed_at = now;
+        }
+        return most;
+    }
+};
+
+TEST_CASE_FIXTURE(pools_fixture, "pools, decode fuller by more than an engine, gains one early") {
+    set_engines(4, 5);
+    offer(1.2, 3.0, 500ms);
+    CHECK_FALSE(wanted());
+    offer(1.2, 3.0, 2s);
+    CHECK(wanted() == backend_role::decode);
+}
+
+TEST_CASE_FIXTURE(pools_fixture, "pools, as even as engines allow, stay as they are") {
+    set_engines(3, 6);
+    offer(1.6, 3.2, 60s);
+    CHECK_FALSE(wanted());
+}
+
+TEST_CASE_FIXTURE(pools_fixture, "pools, hardly used, stay as they are") {
+    set_engines(4, 5);
+    offer(0.2, 1.0, 60s);
+    CHECK_FALSE(wanted());
+}
+
+TEST_CASE_FIXTURE(pools_fixture,
+                  "pools, prefill engines out of reach for seconds, decode keeps its own") {
+    set_engines(2, 6);
+    offer(1.7, 3.0, 8s);
+    CHECK_FALSE(wanted());
+    SUBCASE("they are back") {
+        set_engines(3, 6);
+        offer(1.7, 3.0, 30s);
+        CHECK_FALSE(wanted());
+    }
+    SUBCASE("they stay away") {
+        offer(1.7, 3.0, 10s);
+        CHECK(wanted() == backend_role::prefill);
+    }
+}
+
+TEST_CASE_FIXTURE(pools_fixture, "pools, just changed, wait until the change has been seen") {
+    set_engines(5, 4);
+    pools.changed_at = now;
+    offer(1.0, 3.5, 10s);
+    CHECK_FALSE(wanted());
+    offer(1.0, 3.5, 5s);
+    CHECK(wanted() == backend_role::decode);
+}
+
+TEST_CASE_FIXTURE(pools_fixture, "pools, two engines left in one, it gives none") {
+    set_engines(2, 7);
+    offer(0.1, 6.9, 60s);
+    CHECK_FALSE(wanted());
+}
+
+TEST_CASE("pools, any steady load and any split, moves end and leave no engine to gain") {
+    for (int prefill = 2; prefill <= 9; ++prefill) {
+        for (int decode = 2; decode <= 9; ++decode) {
+            for (double prefill_load = 0.1; prefill_load < 6; prefill_load += 0.7) {
+                for (double decode_load = 0.1; decode_load < 9; decode_load += 0.9) {
+                    CAPTURE(prefill);
+                    CAPTURE(decode);
+                    CAPTURE(prefill_load);
+                    CAPTURE(decode_load);
+                    pools_fixture cell;
+                    cell.set_engines(static_cast<std::uint32_t>(prefill),
+                                     static_cast<std::uint32_t>(decode));
+                    // More moves than engines would be a way back and forth.
+                    REQUIRE(cell.follow(prefill_load, decode_load, prefill + decode) <
+                            std::max(prefill, decode));
+                    REQUIRE(cell.pools.prefill_engines >= 2);
+                    REQUIRE(cell.pools.decode_engines >= 2);
+                }
+            }
+        }
+    }
+}
+
+TEST_CASE("use_between, requests of two moments, count for both pools at once") {
+    cell_capacity capacity;
+    capacity.prefill_engines = 4;
+    capacity.slots = 50;
+    const offered_work before{10, 100};
+    const offered_work after{12, 150};
+    const pool_use use = use_between(before, after, capacity, 2s);
+    CHECK(use.prefill == doctest::Approx(0.25));
+    CHECK(use.decode == doctest::Approx(0.5));
+    CHECK(use_between(before, after, cell_capacity{}, 2s).decode == 0);
+}
+
+} // namespace
--- a/test/serving/completion_request_test.cpp
+++ b/test/serving/completion_request_test.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "src/serving/completion_request.hpp"
 
 #include "src/serving/constants.hpp"
--- a/test/serving/dead_holders_invariant_test.cpp
+++ b/test/serving/dead_holders_invariant_test.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "cicadahatch/http"
 #include "src/serving/cell_host.hpp"
 #include "test/support/http_calls.hpp"
--- a/test/serving/digest_period_test.cpp
+++ b/test/serving/digest_period_test.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "cicadahatch/membership"
 #include "src/membership/constants.hpp"
 #include "src/serving/digest_book.hpp"
--- a/test/serving/order_driver_test.cpp
+++ b/test/serving/order_driver_test.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "cicadahatch/orders"
 #include "src/serving/order_driver.hpp"
 #include "src/serving/order_wishes.hpp"
--- a/test/serving/platform_share_test.cpp
+++ b/test/serving/platform_share_test.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "src/core/manual_clock.hpp"
 #include "src/serving/platform_share.hpp"
 
--- a/test/serving/token_estimator_test.cpp
+++ b/test/serving/token_estimator_test.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "src/serving/token_estimator.hpp"
 
 #include <doctest/doctest.h>
--- a/test/settings/gateway_settings_test.cpp
+++ b/test/settings/gateway_settings_test.cpp
@@ -1,4 +1,3 @@
-#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "src/settings/error.hpp"
 #include "src/settings/gateway_settings.hpp"
 #include "test/support/paths.hpp"
--- a/test/support/platform_site.cpp
+++ b/test/support/platform_site.cpp
@@ -404,6 +404,10 @@
             const std::string body = script.has_room ? R"({"hold":"h1"})" : "{}";
             co_return co_await send(socket, answer_text(id, script.has_room ? 200 : 503, "", body));
         }
+        if (target == "/cicadahatch/report") {
+            co_return co_await send(
+                socket, answer_text(id, 200, "", R"({"running":0,"kvUsed":0,"seq":0})"));
+        }
         if (target.starts_with("/cicadahatch/")) {
             co_return co_await send(socket, answer_text(id, 200, "", "{}"));
         }
