Render the new bounds in the test of the deployment's template

Cause: the template got two placeholders that the test does not fill in. Change: the test fills them in.

--- a/test/settings/gateway_settings_test.cpp
+++ b/test/settings/gateway_settings_test.cpp
@@ -34,7 +34,9 @@
         {"bounds.graceS|json", "8"},
         {"bounds.retryBudgetRatio|json", "0.2"},
         {"bounds.budgetExtra|json", "54"},
-        {"bounds.transitMs|json", "120"}};
+        {"bounds.transitMs|json", "120"},
+        {"bounds.leaseMs|json", "3000"},
+        {"bounds.requireFencing|json", "false"}};
     for (const auto& [name, value] : values) {
         const std::string placeholder = "{{" + name + "}}";
         for (std::size_t at = text.find(placeholder); at != std::string::npos;
