Go on with broken streams, blame engines in another role, serve behind cuts

An engine that had crashed came back in its first role while the store was away. What comes back too late for its objective filled engines for seconds after a burst, while requests that could be on time kept coming. Change: what is left of a stream is asked for within the time that the caller waits for an event, behind streams that can still be on time; 421 counts against the engine that said so; all prefill engines may be ejected where decode engines can read prompts; a fifth of the decode memory is kept from what is not urgent. Tests: gateway.gateway (two cases) and scheduling.engine_view (one); the first of gateway.gateway was seen to fail before. 101 tests but those that start programs: green.

--- a/src/forwarding/decode_stream.cpp
+++ b/src/forwarding/decode_stream.cpp
@@ -17,6 +17,9 @@
 /// milliseconds and goes on; going on elsewhere would have the prompt read once more.
 constexpr double silent_pauses = 6.0;
 
+/// RFC 9110, 15.5.20.
+constexpr unsigned status_misdirected = 421;
+
 bool is_success(unsigned status) {
     constexpr unsigned first_success = 200;
     constexpr unsigned after_success = 300;
@@ -92,6 +95,10 @@
         run.reached = progress::unknown;
         co_return decode_attempt{attempt_end::broken, answer.status};
     }
+    if (answer.facts.is_not_run && answer.status == status_misdirected) {
+        run.reason = "engine restarted or in another role";
+        co_return decode_attempt{attempt_end::misdirected, answer.status};
+    }
     if (answer.facts.is_not_run) {
         run.reason = "refused by the engine";
         co_return decode_attempt{attempt_end::refused, answer.status};
@@ -195,6 +202,8 @@
         return "done";
     case attempt_end::refused:
         return "refused";
+    case attempt_end::misdirected:
+        return "misdirected";
     case attempt_end::prefill_lost:
         return "prefill_lost";
     case attempt_end::broken:
--- a/src/forwarding/placements.hpp
+++ b/src/forwarding/placements.hpp
@@ -4,6 +4,7 @@
 #include "src/forwarding/request_life.hpp"
 
 #include <chrono>
+#include <optional>
 #include <string>
 
 namespace cicadahatch::forwarding {
@@ -12,9 +13,10 @@
 struct placement_request {
     service_id service;
     attempt_number attempt;
-    std::uint32_t generated_tokens = 0;       ///< by earlier attempts
-    bool is_urgent = true;                    ///< goes before what is not
-    std::chrono::milliseconds target{0};      ///< longest useful wait for the first event
+    std::uint32_t generated_tokens = 0;  ///< by earlier attempts
+    bool is_urgent = true;               ///< goes before what is not
+    std::chrono::milliseconds target{0}; ///< longest useful wait for the next event
+    std::optional<time_point> since;     ///< from which the target counts; the arrival if not set
     std::chrono::milliseconds late_target{0}; ///< the same for a caller that comes back
 };
 
--- a/src/forwarding/stream_forward.cpp
+++ b/src/forwarding/stream_forward.cpp
@@ -52,6 +52,7 @@
     case attempt_end::prefill_failed:
     case attempt_end::prefill_lost:
         return placement_end::prefill_failed;
+    case attempt_end::misdirected:
     case attempt_end::broken:
     case attempt_end::cut:
         return placement_end::decode_failed;
@@ -65,7 +66,9 @@
     auto& load = balancing::load_of(state.loads, place.engine.id, place.engine.started);
     load.held_tokens -= std::min<std::uint64_t>(load.held_tokens, place.tokens);
     load.running -= std::min(load.running, 1U);
-    if (made.ended == attempt_end::broken && !life.is_over()) {
+    const bool is_failure =
+        made.ended == attempt_end::broken || made.ended == attempt_end::misdirected;
+    if (is_failure && !life.is_over()) {
         run.failed.push_back(place.engine.id);
         balancing::record_failure(load, state.rules.ejection, state.time.now());
     } else if (made.ended == attempt_end::done) {
@@ -143,6 +146,14 @@
     return run.sends == 0 || scheduling::take_retry(retries_of(state, run.wanted.service));
 }
 
+/// A stream that has begun has met its objective or missed it; what counts now is that the rest
+/// comes before the caller gives up. It goes behind streams that can still be on time.
+void ask_for_the_rest(stream_run& run, const request_life& life, time_point now) {
+    run.wanted.target = longest_wait(life.route());
+    run.wanted.since = now;
+    run.wanted.is_urgent = false;
+}
+
 asio::awaitable<void> finish_failed(gateway_state& state, life_ptr life, caller_connection& caller,
                                     const stream_run& run) {
     unsigned status = 0;
@@ -169,6 +180,9 @@
     scheduling::note_request(retries_of(state, run.wanted.service));
     decode_attempt made = co_await attempt(state, life, caller, run);
     while (may_go_on(state, *life, run, made.ended)) {
+        if (run.has_begun) {
+            ask_for_the_rest(run, *life, state.time.now());
+        }
         made = co_await attempt(state, life, caller, run);
     }
     if (made.ended == attempt_end::done) {
--- a/src/forwarding/stream_run.hpp
+++ b/src/forwarding/stream_run.hpp
@@ -70,6 +70,7 @@
 enum class attempt_end : std::uint8_t {
     done,           ///< the caller has got the end of the stream, or another whole answer
     refused,        ///< the decode engine did not take the request
+    misdirected,    ///< another process, or an engine in another role, has answered
     prefill_lost,   ///< it could not fetch the prompt's memory from the prefill engine
     broken,         ///< an engine took it and did not finish
     prefill_failed, ///< no engine has read the prompt
--- a/src/gateway/cell_parts.cpp
+++ b/src/gateway/cell_parts.cpp
@@ -68,6 +68,9 @@
     // the look ahead is repeated for each of a dozen admissions while a stream runs.
     policy.memory_confidence = 3.0;
     policy.local_prefill_tokens = 0;
+    // One or two of a dozen streams: what is not urgent, and what comes back too late for its
+    // objective, must not fill an engine for seconds while urgent requests keep coming.
+    policy.urgent_reserve = 0.2;
     policy.owner_silence = 1500ms;
     policy.longest_hold = 60ms;
     // A zone of three that is cut off reaches a third of the engines.
--- a/src/gateway/placement_client.cpp
+++ b/src/gateway/placement_client.cpp
@@ -51,7 +51,7 @@
     asked.expected_output_tokens = facts.expected_output_tokens.value_or(0);
     asked.max_output_tokens =
         facts.max_output_tokens - std::min(wanted.generated_tokens, facts.max_output_tokens);
-    asked.waited = duration_cast<microseconds>(now - life.arrived());
+    asked.waited = duration_cast<microseconds>(now - wanted.since.value_or(life.arrived()));
     asked.first_token_target = wanted.target;
     asked.late_first_token_target = wanted.late_target;
     asked.prompt_key = facts.prompt_key;
--- a/src/scheduling/internal/engine_health.cpp
+++ b/src/scheduling/internal/engine_health.cpp
@@ -11,9 +11,22 @@
 
 constexpr std::uint32_t largest_backoff_exponent = 10;
 
+/// Whether the cell serves on without prefill engines, as behind a cut.
+bool can_decode_engines_prefill(const cell_state& state) {
+    const auto& engines = state.engines.rows();
+    return std::any_of(engines.begin(), engines.end(), [](const engine& on) {
+        return on.spec.role == backend_role::decode && takes_work(on) &&
+               on.spec.prefill_tokens_per_second > 0;
+    });
+}
+
 /// Ejecting more than a part of a role would turn a common cause into an outage. A role's only
-/// engine may go: another cell serves better than one that fails every request.
+/// engine may go: another cell serves better than one that fails every request. Prefill engines may
+/// all go where decode engines can do their work.
 bool may_eject(const cell_state& state, const cell_policy& policy, backend_role role) {
+    if (role == backend_role::prefill && can_decode_engines_prefill(state)) {
+        return true;
+    }
     std::size_t all = 0;
     std::size_t ejected = 0;
     for (const engine& other : state.engines.rows()) {
--- a/src/scheduling/internal/memory_forecast.cpp
+++ b/src/scheduling/internal/memory_forecast.cpp
@@ -105,7 +105,7 @@
 } // namespace
 
 bool has_room(const cell_state& state, const cell_policy& policy, const engine& on,
-              const waiting_request& request, time_point now) {
+              const waiting_request& request, bool may_use_reserve, time_point now) {
     const double rate = 1 / std::max(shortest_step, step_seconds(on, on.streams + 1));
     std::vector<growing_stream> streams;
     streams.reserve(on.holders.size() + 1);
@@ -120,7 +120,8 @@
     added.output = request.output;
     streams.push_back(added);
     add_foreign(state, on, request.spec.service, request.spec.max_output_tokens, streams);
-    const double capacity = static_cast<double>(on.spec.pieces) * on.spec.piece_tokens;
+    const double part = may_use_reserve ? 1 : 1 - policy.urgent_reserve;
+    const double capacity = part * static_cast<double>(on.spec.pieces) * on.spec.piece_tokens;
     // Each stream leaves half a piece unused on average.
     const double unused = static_cast<double>(streams.size()) * on.spec.piece_tokens / 2;
     return fits(streams, capacity - unused, rate, policy.memory_confidence);
--- a/src/scheduling/internal/memory_forecast.hpp
+++ b/src/scheduling/internal/memory_forecast.hpp
@@ -30,8 +30,9 @@
 /// \returns what the cell's own streams of an engine used at a time in the last seconds, in tokens
 [[nodiscard]] double own_tokens_at(const cell_state& state, const engine& on, time_point at);
 
+/// \param may_use_reserve whether the part kept for the urgent rank is open too
 /// \returns whether the request would fit into the engine beside the streams granted there
 [[nodiscard]] bool has_room(const cell_state& state, const cell_policy& policy, const engine& on,
-                            const waiting_request& request, time_point now);
+                            const waiting_request& request, bool may_use_reserve, time_point now);
 
 } // namespace cicadahatch::scheduling::internal
--- a/src/scheduling/systems/place.cpp
+++ b/src/scheduling/systems/place.cpp
@@ -119,9 +119,9 @@
 
 /// Whether the engine's memory takes the request beside the streams granted there.
 bool has_memory_for(const cell_state& state, const cell_policy& policy, const engine& on,
-                    const waiting_request& request, time_point now) {
+                    const waiting_request& request, bool may_use_reserve, time_point now) {
     if (policy.forecasts_memory && request.output.most > 0 && on.spec.pieces > 0) {
-        return internal::has_room(state, policy, on, request, now);
+        return internal::has_room(state, policy, on, request, may_use_reserve, now);
     }
     return has_memory(on, internal::pieces_needed(on, policy, request.spec));
 }
@@ -142,7 +142,7 @@
     if (open_slots(on, policy, wanted.may_use_reserve) == 0 || !keeps_targets(on, request)) {
         return obstacle::slots_full;
     }
-    const bool has_room = has_memory_for(state, policy, on, request, now);
+    const bool has_room = has_memory_for(state, policy, on, request, wanted.may_use_reserve, now);
     return has_room ? obstacle::none : obstacle::memory_full;
 }
 
--- a/test/gateway/gateway_test.cpp
+++ b/test/gateway/gateway_test.cpp
@@ -466,6 +466,45 @@
     CHECK(site.count("x-2", "/resume/x") >= 1);
 }
 
+TEST_CASE_FIXTURE(gateway_fixture, "stream, breaks long after its objective and may be resumed, "
+                                   "goes on") {
+    site.add_engine("x-2", "model", "decode");
+    REQUIRE(eventually([this] { return has_logged("x-2"); }));
+    engine_script lasting;
+    lasting.events = 80;
+    lasting.event_gap = 10ms;
+    site.set_script("x-2", lasting);
+    const std::string head = "X-Cicadahatch-Token-Usage: 100,2000\r\n";
+    bool has_broken = false;
+    for (int round = 0; round < 6 && !has_broken; ++round) {
+        lasting.break_after = 60;
+        site.set_script("x-1", lasting);
+        const std::string answer = call("POST", "/resume/x", head, "prompt");
+        CHECK(answer.find("id: 79\n") != std::string::npos);
+        has_broken = has_logged(R"("ended":"broken")");
+    }
+    CHECK(has_broken);
+}
+
+TEST_CASE_FIXTURE(gateway_fixture, "streams, engine answers that it is another one, is left out") {
+    site.add_engine("x-2", "model", "decode");
+    REQUIRE(eventually([this] { return has_logged("x-2"); }));
+    engine_script other;
+    other.misdirects = true;
+    // Refused requests count against the budget of repeats.
+    for (int round = 0; round < 50; ++round) {
+        static_cast<void>(call("POST", "/resume/warm", stream_head(), "prompt"));
+    }
+    site.set_script("x-1", other);
+    int served = 0;
+    for (int round = 0; round < 8; ++round) {
+        served += status_of(call("POST", "/resume/x", stream_head(), "prompt")) == 200 ? 1 : 0;
+    }
+    CHECK(served == 8);
+    // Two in a row end it for a second, and a probe fails once in a while.
+    CHECK(site.count("x-1", "/resume/x") <= 4);
+}
+
 TEST_CASE_FIXTURE(gateway_fixture, "stream, caller leaves midway, engine's connection is closed") {
     engine_script slow;
     slow.events = 100;
--- a/test/scheduling/engine_view_test.cpp
+++ b/test/scheduling/engine_view_test.cpp
@@ -96,6 +96,30 @@
     CHECK(at("prefill-0").health == health::healthy);
 }
 
+TEST_CASE_FIXTURE(two_prefill_fixture,
+                  "prefill engines, all out of reach, decode engines read prompts") {
+    policy.longest_hold = 10ms;
+    for (engine& on : state.engines.rows()) {
+        on.spec.prefill_tokens_per_second = std::max(on.spec.prefill_tokens_per_second, 1000.0);
+    }
+    std::optional<grant> last;
+    for (int count = 0; count < 200 && !(last && last->prefill == last->decode); ++count) {
+        const std::string name = "f" + std::to_string(count);
+        REQUIRE(submit(state, policy, test_support::request(name, rank::urgent, time.now()),
+                       time.now()));
+        for (const grant& issued : step(10ms).grants) {
+            last = issued;
+            if (issued.prefill != issued.decode) {
+                release(state, policy, issued.request, outcome::prefill_failed, 0, time.now());
+            }
+        }
+    }
+    REQUIRE(last);
+    CHECK(last->prefill == last->decode);
+    CHECK(at("prefill-0").health == health::ejected);
+    CHECK(at("prefill-1").health == health::ejected);
+}
+
 TEST_CASE_FIXTURE(two_prefill_fixture, "engine, stream broke there, held back until it reports") {
     const backend_id failed = break_stream("r");
     for (int count = 0; count < 3; ++count) {
--- a/test/support/platform_site.cpp
+++ b/test/support/platform_site.cpp
@@ -411,6 +411,10 @@
         if (target.starts_with("/cicadahatch/")) {
             co_return co_await send(socket, answer_text(id, 200, "", "{}"));
         }
+        if (script.misdirects) {
+            co_return co_await send(
+                socket, answer_text(id, 421, "X-Cicadahatch-Not-Executed: 1\r\n", "{}"));
+        }
         if (!text(asked["X-Cicadahatch-Stage"]).empty()) {
             const std::string handle = "k" + std::to_string(engine.next_handle++);
             const std::string body = R"({"kvHandle":")" + handle + R"(","tokens":10,"version":1})";
--- a/test/support/platform_site.hpp
+++ b/test/support/platform_site.hpp
@@ -36,6 +36,7 @@
     plain_answer plain = plain_answer::sound;
     bool has_room = true; ///< else places are refused
     bool fails_prefill = false;
+    bool misdirects = false;  ///< 421: it has restarted, or its role is another one
     unsigned events = 4;      ///< of a stream
     unsigned break_after = 0; ///< resets the connection after so many events, once; zero: never
     bool breaks_within_event = false;
