Let a new home wait before it moves engines

Home a-1 ordered an engine to decode at 1.95 s; the home that took over ordered another at 12.0 s, as its own figures of the engines' speeds were still the assumed ones. Ruled out: both homes at once (the lease was released and taken again). Change: a home counts as if a role had just changed when it takes a cell over. Test: gateway.gateway orders as before; the wait itself has no test of its own.

--- a/src/gateway/role_orders.cpp
+++ b/src/gateway/role_orders.cpp
@@ -72,6 +72,10 @@
     for (const auto& [id, cell] : homes_.cells().cells()) {
         cell_roles& roles = cells_[id];
         const bool has_work = !cell.waiting.empty() || !cell.grants.empty();
+        if (roles.busy_at == time_point{}) {
+            // The home before may have ordered a change, and speeds are not known yet.
+            roles.balance.changed_at = now;
+        }
         if (has_work || roles.busy_at == time_point{}) {
             roles.busy_at = now;
         }
