Explain a request from the logs of many daemons; one type for the use of pools

Cause: on-call engineers picked the lines of a request out of many logs by hand; serving and scheduling each had a type for the use of two pools; the linter found an assignment of whole answers, whose parts may throw.

--- a/programs/cicadahatch/command.cpp
+++ b/programs/cicadahatch/command.cpp
@@ -27,6 +27,7 @@
     command{"drain", "take a backend server or a daemon out of service", run_drain},
     command{"log-level", "set the least severity that daemons log", run_log_level},
     command{"report", "report service-level burn", run_report},
+    command{"explain", "tell from logs what became of a request", run_explain},
     command{"docs", "print the reference of the settings", run_docs},
 };
 
--- a/programs/cicadahatch/command.hpp
+++ b/programs/cicadahatch/command.hpp
@@ -23,6 +23,7 @@
 exit_code run_drain(const argument_list& arguments, const terminal& to);
 exit_code run_log_level(const argument_list& arguments, const terminal& to);
 exit_code run_report(const argument_list& arguments, const terminal& to);
+exit_code run_explain(const argument_list& arguments, const terminal& to);
 exit_code run_docs(const argument_list& arguments, const terminal& to);
 
 } // namespace cicadahatch::tool
--- a/src/forwarding/plain_forward.cpp
+++ b/src/forwarding/plain_forward.cpp
@@ -102,7 +102,7 @@
         if (!is_worth_repeating(life, answer)) {
             return true;
         }
-        run.failure = std::move(answer);
+        run.failure.emplace(std::move(answer));
         run.reached = progress::unknown;
         return false;
     }
--- a/src/gateway/role_orders.cpp
+++ b/src/gateway/role_orders.cpp
@@ -1,6 +1,5 @@
 #include "src/gateway/role_orders.hpp"
 
-#include "src/forwarding/exchange.hpp"
 #include "src/gateway/cell_parts.hpp"
 #include "src/gateway/constants.hpp"
 
@@ -196,6 +195,14 @@
     asio::co_spawn(state_.loop, send(cell, *engine, wanted.role, *permit), asio::detached);
 }
 
+asio::awaitable<forwarding::whole_answer>
+role_orders::call_if(bool may_send, discovery::backend engine, forwarding::engine_call made) {
+    if (!may_send) {
+        co_return forwarding::whole_answer{};
+    }
+    co_return co_await forwarding::call_engine(state_, nullptr, engine, std::move(made));
+}
+
 asio::awaitable<void> role_orders::send(cell_id id, discovery::backend engine, backend_role role,
                                         orders::order_permit permit) {
     const auto asked =
@@ -203,12 +210,10 @@
     const auto report = state_.wire.read_report(asked.body);
     const bool is_in_time = lease_time_.now() < permit.not_after;
     const bool may_send = !asked.error && report && is_in_time;
-    forwarding::whole_answer answer;
-    if (may_send) {
-        answer = co_await forwarding::call_engine(
-            state_, nullptr, engine,
-            state_.wire.role_call(role, self_, permit.number, report->orders_taken));
-    }
+    const forwarding::whole_answer answer = co_await call_if(
+        may_send, engine,
+        may_send ? state_.wire.role_call(role, self_, permit.number, report->orders_taken)
+                 : forwarding::engine_call{});
     state_.log.write(weight::notable, "order.sent",
                      {{"cell", id.str()},
                       {"backend", engine.id.str()},
--- a/src/gateway/role_orders.hpp
+++ b/src/gateway/role_orders.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "src/forwarding/exchange.hpp"
 #include "src/forwarding/gateway_state.hpp"
 #include "src/gateway/home_server.hpp"
 #include "src/gateway/order_desk.hpp"
@@ -55,6 +56,9 @@
     void finish(const cell_id& id, cell_roles& roles, const char* outcome);
     [[nodiscard]] const discovery::backend* still_due(const change& wanted) const;
     [[nodiscard]] std::chrono::milliseconds change_time(const cell_id& id) const;
+    /// \returns an empty answer without a call that may not be sent
+    [[nodiscard]] forwarding::asio::awaitable<forwarding::whole_answer>
+    call_if(bool may_send, discovery::backend engine, forwarding::engine_call made);
     [[nodiscard]] forwarding::asio::awaitable<void>
     send(cell_id id, discovery::backend engine, backend_role role, orders::order_permit permit);
 
--- a/src/serving/order_cell.cpp
+++ b/src/serving/order_cell.cpp
@@ -26,7 +26,8 @@
 
 } // namespace
 
-pool_use measure_use(const scheduling::cell_state& state, const scheduling::cell_policy& policy) {
+scheduling::pool_use measure_use(const scheduling::cell_state& state,
+                                 const scheduling::cell_policy& policy) {
     pool_sum prefills;
     pool_sum slots;
     pool_sum pieces;
--- a/test/tool/command_test.cpp
+++ b/test/tool/command_test.cpp
@@ -35,7 +35,7 @@
 TEST_CASE_FIXTURE(command_fixture, "run, help of each command, printed") {
     CHECK(run({"--help"}) == 0);
     for (const char* name : {"check", "publish", "show", "status", "cells", "engines", "members",
-                             "drain", "log-level", "report", "docs"}) {
+                             "drain", "log-level", "report", "explain", "docs"}) {
         CHECK(run({name, "--help"}) == 0);
         CHECK(out.str().find(std::string{"cicadahatch "} + name) != std::string::npos);
     }
