Build an order's call before it is awaited

Cause: the sanitizer run of gateway.gateway found a free of memory inside a coroutine's frame: GCC 12 destroys the temporaries of a conditional that stands within a co_await expression wrongly. Ruled out: the desk's thread (it only posts to the loop). Change: the call is built in a statement of its own. Conclusion: kept; the test that fails first is gateway.gateway, 'a prefill engine is ordered to decode', in the sanitizer build.

--- a/src/gateway/role_orders.cpp
+++ b/src/gateway/role_orders.cpp
@@ -210,10 +210,12 @@
     const auto report = state_.wire.read_report(asked.body);
     const bool is_in_time = lease_time_.now() < permit.not_after;
     const bool may_send = !asked.error && report && is_in_time;
-    const forwarding::whole_answer answer = co_await call_if(
-        may_send, engine,
-        may_send ? state_.wire.role_call(role, self_, permit.number, report->orders_taken)
-                 : forwarding::engine_call{});
+    // GCC 12 destroys temporaries of a conditional within a co_await wrongly.
+    forwarding::engine_call made;
+    if (may_send) {
+        made = state_.wire.role_call(role, self_, permit.number, report->orders_taken);
+    }
+    const forwarding::whole_answer answer = co_await call_if(may_send, engine, made);
     state_.log.write(weight::notable, "order.sent",
                      {{"cell", id.str()},
                       {"backend", engine.id.str()},
