Ask once whether a status is a success, and once for a service's traits

Cause: read again as a whole, the change had the test for a success three times and the way from a service to the traits of its engines four times; no caller wanted the service for anything else. Change: is_success in relay_answer, route_table::find_traits in place of find_service. role_orders names the first sight of a cell once.

--- a/src/forwarding/decode_stream.cpp
+++ b/src/forwarding/decode_stream.cpp
@@ -20,12 +20,6 @@
 /// RFC 9110, 15.5.20.
 constexpr unsigned status_misdirected = 421;
 
-bool is_success(unsigned status) {
-    constexpr unsigned first_success = 200;
-    constexpr unsigned after_success = 300;
-    return status >= first_success && status < after_success;
-}
-
 /// When a silent engine is given up. A stream that can't go on elsewhere keeps its engine.
 time_point silent_at(const gateway_state& state, const request_life& life, bool has_begun) {
     if (!life.route().is_resumable) {
--- a/src/forwarding/find_place.cpp
+++ b/src/forwarding/find_place.cpp
@@ -28,8 +28,7 @@
 constexpr unsigned status_ok = 200;
 
 const routing::engine_traits* traits_of(const request_life& life, const stream_run& run) {
-    const routing::service* service = life.table().find_service(run.wanted.service);
-    return service != nullptr && service->engine ? &*service->engine : nullptr;
+    return life.table().find_traits(run.wanted.service);
 }
 
 std::chrono::milliseconds lease_for(const request_life& life, const stream_run& run) {
--- a/src/forwarding/relay_answer.cpp
+++ b/src/forwarding/relay_answer.cpp
@@ -6,14 +6,11 @@
 
 namespace {
 
-constexpr unsigned first_success = 200;
-constexpr unsigned after_success = 300;
-
 metrics::request_outcome outcome_of(const request_life& life, unsigned status) {
     if (life.ended() == ending::caller_left) {
         return metrics::request_outcome::canceled;
     }
-    if (status >= first_success && status < after_success) {
+    if (is_success(status)) {
         return metrics::request_outcome::completed;
     }
     const bool is_refusal =
@@ -55,9 +52,14 @@
     return made;
 }
 
+bool is_success(unsigned status) noexcept {
+    constexpr unsigned first_success = 200;
+    constexpr unsigned after_success = 300;
+    return status >= first_success && status < after_success;
+}
+
 bool is_sound(const whole_answer& answer) {
-    const bool is_success = answer.status >= first_success && answer.status < after_success;
-    return !is_success || answer.facts.is_signed;
+    return !is_success(answer.status) || answer.facts.is_signed;
 }
 
 void log_end(gateway_state& state, const request_life& life, unsigned status,
@@ -66,8 +68,8 @@
     const duration taken = state.time.now() - life.arrived();
     const bool has_begun = life.answered_at() != time_point{};
     const duration first_event = has_begun ? life.answered_at() - life.arrived() : duration{0};
-    const bool is_success = status >= first_success && status < after_success;
-    state.log.write(is_success ? logging::weight::routine : logging::weight::notable, "request.end",
+    const auto matters = is_success(status) ? logging::weight::routine : logging::weight::notable;
+    state.log.write(matters, "request.end",
                     {{"request", life.facts().id.str()},
                      {"route", life.route().name},
                      {"version", life.table().version()},
--- a/src/gateway/cell_parts.cpp
+++ b/src/gateway/cell_parts.cpp
@@ -47,12 +47,12 @@
     cells::cell_parts parts;
     parts.daemons = state.daemon_names;
     const service_id id{cell.str()};
-    const routing::service* service = state.table ? state.table->find_service(id) : nullptr;
-    if (service == nullptr || !service->engine) {
+    const routing::engine_traits* traits = state.table ? state.table->find_traits(id) : nullptr;
+    if (traits == nullptr) {
         return parts;
     }
     for (const discovery::backend* engine : state.backends.open_backends(id)) {
-        parts.engines.push_back(spec_of(*engine, *service->engine));
+        parts.engines.push_back(spec_of(*engine, *traits));
     }
     scheduling::service_spec described;
     described.id = id;
--- a/src/gateway/placement_client.cpp
+++ b/src/gateway/placement_client.cpp
@@ -26,14 +26,9 @@
     return cell_id{service.str()};
 }
 
-const routing::engine_traits* traits_of(const request_life& life, const service_id& service) {
-    const routing::service* known = life.table().find_service(service);
-    return known != nullptr && known->engine ? &*known->engine : nullptr;
-}
-
 /// The pause that a route allows between two events, for each token of an event.
 microseconds token_target(const request_life& life, const service_id& service) {
-    const routing::engine_traits* traits = traits_of(life, service);
+    const routing::engine_traits* traits = life.table().find_traits(service);
     const std::uint32_t tokens = traits == nullptr ? 1 : traits->tokens_per_event;
     return duration_cast<microseconds>(life.route().gap_objective) / tokens;
 }
--- a/src/gateway/role_orders.cpp
+++ b/src/gateway/role_orders.cpp
@@ -71,11 +71,12 @@
     for (const auto& [id, cell] : homes_.cells().cells()) {
         cell_roles& roles = cells_[id];
         const bool has_work = !cell.waiting.empty() || !cell.grants.empty();
-        if (roles.busy_at == time_point{}) {
+        const bool is_new = roles.busy_at == time_point{};
+        if (is_new) {
             // The home before may have ordered a change, and speeds are not known yet.
             roles.balance.changed_at = now;
         }
-        if (has_work || roles.busy_at == time_point{}) {
+        if (is_new || has_work) {
             roles.busy_at = now;
         }
         if (!state_.is_stopping && now - roles.busy_at < lease_idle) {
@@ -170,10 +171,9 @@
 }
 
 std::chrono::milliseconds role_orders::change_time(const cell_id& id) const {
-    const routing::service* service =
-        state_.table ? state_.table->find_service(service_id{id.str()}) : nullptr;
-    return service != nullptr && service->engine ? service->engine->role_change
-                                                 : std::chrono::milliseconds{0};
+    const routing::engine_traits* traits =
+        state_.table ? state_.table->find_traits(service_id{id.str()}) : nullptr;
+    return traits == nullptr ? std::chrono::milliseconds{0} : traits->role_change;
 }
 
 void role_orders::on_permit(const cell_id& cell,
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -48,9 +48,13 @@
     return nullptr;
 }
 
-const service* route_table::find_service(const service_id& id) const {
+const engine_traits* route_table::find_traits(const service_id& id) const {
     const auto found = by_service_.find(id);
-    return found == by_service_.end() ? nullptr : &accepted_.services[found->second];
+    if (found == by_service_.end()) {
+        return nullptr;
+    }
+    const auto& traits = accepted_.services[found->second].engine;
+    return traits ? &*traits : nullptr;
 }
 
 service_id choose_service(const route& of, double draw) {
--- a/src/routing/route_table.hpp
+++ b/src/routing/route_table.hpp
@@ -28,8 +28,8 @@
     /// \returns the route with the longest prefix that begins the path, or null
     [[nodiscard]] const route* find(std::string_view host, std::string_view target) const;
 
-    /// \returns the service, or null
-    [[nodiscard]] const service* find_service(const service_id& id) const;
+    /// \returns what the engines of a model service have in common; null for any other service
+    [[nodiscard]] const engine_traits* find_traits(const service_id& id) const;
 
 private:
     configuration accepted_;
