--- a/test/gateway/gateway_test.cpp
+++ b/test/gateway/gateway_test.cpp
@@ -272,6 +272,7 @@
     const std::string head = "X-Cicadahatch-Token-Usage: 100,900\r\n";
     constexpr int callers_at_once = 8;
     std::vector<std::thread> loading;
+    loading.reserve(callers_at_once);
     for (int number = 0; number < callers_at_once; ++number) {
         loading.emplace_back([&] {
             while (!has_order() && std::chrono::steady_clock::now() < until) {
