--- a/src/cells/home.cpp
+++ b/src/cells/home.cpp
@@ -231,6 +231,7 @@
         for (const scheduling::refusal& refusal : decided.refusals) {
             note_refusal(refusal.request);
             outbox_.push_back({refusal.owner, to_refused(id, refusal)});
+            refusals_.push_back({id, refusal});
         }
     }
 }
@@ -239,6 +240,10 @@
     return std::exchange(outbox_, {});
 }
 
+std::vector<refused_request> home::take_refusals() {
+    return std::exchange(refusals_, {});
+}
+
 bool home::has_waiting() const {
     return std::any_of(cells_.begin(), cells_.end(),
                        [](const auto& row) { return !row.second.waiting.empty(); });
--- a/src/cells/home.hpp
+++ b/src/cells/home.hpp
@@ -26,6 +26,12 @@
     rpc::message sent;
 };
 
+/// \brief A refusal of a home with what it rests on.
+struct refused_request {
+    cell_id cell;
+    scheduling::refusal refusal;
+};
+
 /// \brief The cells whose home this daemon is taken for. A cell is set up when a daemon first
 /// sends a message about it. Does no input or output and is used by one thread.
 class home {
@@ -62,6 +68,9 @@
     /// \returns the messages to send, in their order
     [[nodiscard]] std::vector<outgoing_message> take_messages();
 
+    /// \returns the refusals since the last call, for the log
+    [[nodiscard]] std::vector<refused_request> take_refusals();
+
     /// \returns whether a request waits, so that tick() has to be called soon
     [[nodiscard]] bool has_waiting() const;
     [[nodiscard]] bool has_waiting(const daemon_id& owner) const;
@@ -87,6 +96,7 @@
     parts_source parts_;
     std::map<cell_id, scheduling::cell_state> cells_;
     std::vector<outgoing_message> outbox_;
+    std::vector<refused_request> refusals_;
     std::map<daemon_id, std::set<request_id>> registering_;    ///< grants listed so far
     std::unordered_map<request_id, std::uint64_t> prompts_;    ///< of waiting requests
     std::unordered_map<std::uint64_t, time_point> refused_at_; ///< by prompt
--- a/src/gateway/home_server.cpp
+++ b/src/gateway/home_server.cpp
@@ -163,9 +163,28 @@
     });
 }
 
+void home_server::log_refusals() {
+    for (const cells::refused_request& row : home_.take_refusals()) {
+        const scheduling::refusal_inputs& inputs = row.refusal.inputs;
+        const engines::attempt_id attempt = cells::attempt_of(row.refusal.request);
+        state_.log.write(logging::weight::notable, "home.refused",
+                         {{"request", attempt.request.str()},
+                          {"attempt", attempt.number.value()},
+                          {"cell", row.cell.str()},
+                          {"reason", row.refusal.reason.message()},
+                          {"held_up_by", scheduling::to_string(inputs.held_up_by)},
+                          {"waiting", inputs.waiting},
+                          {"predicted_wait_ms", inputs.predicted_wait},
+                          {"prefill_engines", inputs.prefill_engines},
+                          {"decode_engines", inputs.decode_engines},
+                          {"free_slots", inputs.free_slots}});
+    }
+}
+
 void home_server::run() {
     ran_at_ = state_.time.now();
     home_.tick();
+    log_refusals();
     std::map<daemon_id, std::vector<rpc::message>> by_receiver;
     for (cells::outgoing_message& message : home_.take_messages()) {
         by_receiver[message.to].push_back(std::move(message.sent));
--- a/src/gateway/home_server.hpp
+++ b/src/gateway/home_server.hpp
@@ -51,6 +51,7 @@
     void note_usage(const backend_id& engine);
     void schedule();
     void run();
+    void log_refusals();
     void send_signs_of_life();
     [[nodiscard]] bool is_partial() const;
     void ask_for_usage(time_point now);
--- a/src/scheduling/grant.hpp
+++ b/src/scheduling/grant.hpp
@@ -3,8 +3,10 @@
 #include "src/core/clock.hpp"
 #include "src/core/identifiers.hpp"
 #include "src/scheduling/constants.hpp"
+#include "src/scheduling/obstacle.hpp"
 #include "src/scheduling/output_length.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <system_error>
 #include <vector>
@@ -24,12 +26,23 @@
     std::uint32_t expected_cached_tokens = 0;
 };
 
+/// \brief What a refusal rests on.
+struct refusal_inputs {
+    obstacle held_up_by = obstacle::none; ///< when it was last tried; none: it never was
+    duration predicted_wait{0};           ///< for its rank, as of the refusal
+    std::size_t waiting = 0;              ///< requests of its rank
+    double prefill_engines = 0;           ///< that can take work
+    double decode_engines = 0;            ///< that can take work
+    double free_slots = 0;
+};
+
 /// \brief Final answer to a request that was not run.
 struct refusal {
     request_id request;
     daemon_id owner;
     std::error_code reason; ///< of scheduling::errc
     duration retry_after{0};
+    refusal_inputs inputs{};
 };
 
 /// \brief Where a granted request stands.
--- a/src/scheduling/internal/refuse.cpp
+++ b/src/scheduling/internal/refuse.cpp
@@ -1,12 +1,30 @@
 #include "src/scheduling/internal/refuse.hpp"
 
 #include "src/scheduling/internal/fair_queue.hpp"
+#include "src/scheduling/internal/prediction.hpp"
 
 namespace cicadahatch::scheduling::internal {
 
+namespace {
+
+refusal_inputs inputs_of(const cell_state& state, const waiting_request& refused) {
+    const work_amount& all = state.ranks[rank_index(refused.spec.rank)].waiting;
+    refusal_inputs inputs;
+    inputs.held_up_by = refused.held_up_by;
+    inputs.predicted_wait = from_seconds(predicted_wait_seconds(state, refused.spec.rank, all, 1));
+    inputs.waiting = all.requests;
+    inputs.prefill_engines = state.capacity.prefill_engines;
+    inputs.decode_engines = state.capacity.decode_engines;
+    inputs.free_slots = state.capacity.free_slots;
+    return inputs;
+}
+
+} // namespace
+
 void refuse(cell_state& state, const request_id& request, errc reason, duration retry_after) {
     const waiting_request refused = dequeue(state, request);
-    state.pending_refusals.push_back({refused.id, refused.spec.owner, reason, retry_after});
+    state.pending_refusals.push_back(
+        {refused.id, refused.spec.owner, reason, retry_after, inputs_of(state, refused)});
 }
 
 } // namespace cicadahatch::scheduling::internal
--- a/src/scheduling/systems/grant.cpp
+++ b/src/scheduling/systems/grant.cpp
@@ -125,6 +125,7 @@
     }
     const bool may_use_reserve = of == rank::urgent || is_owed(state, policy, of, scope.skipped);
     const placement found = place(state, policy, *request, may_use_reserve, scope.open, now);
+    state.waiting.find(request->id)->held_up_by = found.why;
     if (found.why == obstacle::memory_full || found.why == obstacle::link_busy) {
         scope.skipped.emplace_back(request->spec.service, request->spec.team);
         return attempt::passed_over;
--- a/src/scheduling/systems/place.hpp
+++ b/src/scheduling/systems/place.hpp
@@ -3,20 +3,12 @@
 #include "src/scheduling/cell_policy.hpp"
 #include "src/scheduling/cell_state.hpp"
 #include "src/scheduling/internal/open_engines.hpp"
+#include "src/scheduling/obstacle.hpp"
 
 #include <cstdint>
 
 namespace cicadahatch::scheduling::systems {
 
-/// \brief Why a request has no place now.
-enum class obstacle : std::uint8_t {
-    none,
-    prefill_busy, ///< every prefill engine is busy
-    slots_full,   ///< no decode engine has a slot
-    memory_full,  ///< none with a slot has the memory; a smaller request may have a place
-    link_busy     ///< the transfer would wait longer than the KV is kept
-};
-
 /// \brief Where a request would run, or why it can't run now.
 struct placement {
     obstacle why = obstacle::none;
--- a/test/cells/home_test.cpp
+++ b/test/cells/home_test.cpp
@@ -121,6 +121,22 @@
     CHECK(is_granted(first_daemon, "again"));
 }
 
+TEST_CASE_FIXTURE(home_fixture, "take_refusals, slots taken, tells what the refusal rests on") {
+    for (int index = 0; index < 4; ++index) {
+        REQUIRE(is_granted(first_daemon, "r" + std::to_string(index)));
+    }
+    REQUIRE_FALSE(is_granted(first_daemon, "more"));
+    const auto refused = decided.take_refusals();
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].cell == pool);
+    const scheduling::refusal_inputs& inputs = refused[0].refusal.inputs;
+    CHECK(scheduling::to_string(inputs.held_up_by) == std::string{"slots_full"});
+    CHECK(inputs.prefill_engines == 2);
+    CHECK(inputs.decode_engines == 1);
+    CHECK(inputs.free_slots == 0);
+    CHECK(decided.take_refusals().empty());
+}
+
 TEST_CASE_FIXTURE(home_fixture, "acquire, refused prompt comes back, goes behind urgent work") {
     for (int index = 0; index < 4; ++index) {
         REQUIRE(is_granted(first_daemon, "r" + std::to_string(index)));
