Bound the connections of callers by the process's descriptors

Cause: callers' connections were not bounded. A flood of them takes the descriptors that requests to backend servers, the store and other daemons need; accepting then fails in a loop. Ruled out: refusing with an answer, as nothing has been read yet and closing unread tells a caller that it may go elsewhere at once. Change: callers keep at most half of the descriptors above the platform's 200. A further connection closes the first idle one; with none idle it is closed unread and logged. Before, the two tests with the bound taken out: idle connections stay open, the further one is served. After: both pass.

--- a/src/gateway/internal/parts.cpp
+++ b/src/gateway/internal/parts.cpp
@@ -98,7 +98,8 @@
                                               [this](std::string_view) { return metrics_page(); }),
                                   asio::detached);
                }),
-      signals_(loop_), tick_timer_(loop_) {
+      signals_(loop_), tick_timer_(loop_),
+      open_callers_(most_callers(configured_.limits.descriptors)) {
     state_.random = random_source{seed_of(configured_, time_)};
     state_.places = &places_;
 }
@@ -186,9 +187,14 @@
 }
 
 void gateway_daemon::parts::accept_caller(forwarding::tcp::socket socket) {
+    if (!open_callers_.make_room()) {
+        // Its closing tells the caller that nothing was read, so it may go elsewhere at once.
+        log_.write(weight::notable, "caller.turned_away", {{"callers", open_callers_.size()}});
+        return;
+    }
     const auto accepted =
         std::make_shared<forwarding::caller_connection>(state_, std::move(socket));
-    open_callers_.push_back(accepted);
+    open_callers_.add(accepted);
     asio::co_spawn(
         loop_, [accepted] { return accepted->serve(); }, asio::detached);
 }
@@ -274,6 +280,7 @@
     configured_.bounds = loaded.value.bounds;
     configured_.limits = loaded.value.limits;
     state_.rules = rules_of(configured_);
+    open_callers_.set_most(most_callers(configured_.limits.descriptors));
     forwarding::set_daemons(state_, state_.daemons);
     log_.write(weight::notable, "settings.reloaded",
                {{"retry_ratio", configured_.bounds.retry_ratio},
@@ -290,14 +297,6 @@
     note_readiness();
 }
 
-void gateway_daemon::parts::close_idle_callers() {
-    for (const auto& row : open_callers_) {
-        if (const auto caller = row.lock()) {
-            caller->close_if_idle();
-        }
-    }
-}
-
 void gateway_daemon::parts::tick() {
     const time_point now = time_.now();
     std::vector<discovery::directory_change> changes;
@@ -307,13 +306,13 @@
     homes_.tend();
     places_.tend();
     roles_.tend();
-    std::erase_if(open_callers_, [](const auto& row) { return row.expired(); });
+    open_callers_.drop_closed();
     if (!state_.is_stopping) {
         return;
     }
     const duration stopping = now - stopping_since_;
     if (stopping >= balancer_delay) {
-        close_idle_callers();
+        open_callers_.close_idle();
     }
     const bool is_done = stopping >= balancer_delay && state_.running_requests == 0;
     if (is_done || now >= state_.stops_at) {
--- a/src/gateway/internal/parts.hpp
+++ b/src/gateway/internal/parts.hpp
@@ -2,6 +2,7 @@
 
 #include "src/forwarding/caller_connection.hpp"
 #include "src/forwarding/gateway_state.hpp"
+#include "src/gateway/caller_table.hpp"
 #include "src/gateway/gateway_daemon.hpp"
 #include "src/gateway/home_server.hpp"
 #include "src/gateway/listener.hpp"
@@ -45,7 +46,6 @@
     void start_shutdown();
     void tick();
     void schedule_tick();
-    void close_idle_callers();
     void follow();
     void on_update(discovery::registry_update update);
     void on_configuration(routing::configuration accepted);
@@ -71,7 +71,7 @@
     listener metrics_;
     forwarding::asio::signal_set signals_;
     forwarding::asio::steady_timer tick_timer_;
-    std::vector<std::weak_ptr<forwarding::caller_connection>> open_callers_;
+    caller_table open_callers_;
     time_point stopping_since_;
     bool was_ready_ = false;
     bool is_whole_ = true; ///< every request ended before the bound on the shutdown
--- a/test/gateway/gateway_test.cpp
+++ b/test/gateway/gateway_test.cpp
@@ -57,7 +57,8 @@
     std::mutex log_mutex;
     std::string log;
 
-    gateway_fixture() {
+    gateway_fixture() : gateway_fixture(settings::gateway_settings{}) {}
+    explicit gateway_fixture(const settings::gateway_settings& basis) : configured(basis) {
         site.put("op/config", test_support::sample_platform_configuration(1));
         site.add_engine("shop-1", "shop", "");
         site.add_engine("p-1", "model", "prefill");
@@ -296,6 +297,52 @@
     CHECK(eventually([this] { return has_logged("order.sent"); }));
 }
 
+/// A gateway with descriptors for five callers.
+struct few_descriptors_fixture : gateway_fixture {
+    static constexpr std::uint32_t descriptors = 210;
+    static constexpr std::size_t most = 5;
+
+    few_descriptors_fixture() : gateway_fixture(make_settings()) {}
+    static settings::gateway_settings make_settings() {
+        settings::gateway_settings made;
+        made.limits.descriptors = descriptors;
+        return made;
+    }
+};
+
+TEST_CASE_FIXTURE(few_descriptors_fixture, "callers, all idle and no room for more, first one "
+                                           "makes room") {
+    std::vector<std::unique_ptr<test_support::raw_caller>> kept;
+    for (std::size_t number = 0; number < most; ++number) {
+        kept.push_back(std::make_unique<test_support::raw_caller>(callers()));
+        kept.back()->send(request("GET", "/plain/x"));
+        REQUIRE(kept.back()->receive_until("whole answer").find(" 200 ") != std::string::npos);
+    }
+    CHECK(status_of(call("GET", "/plain/more")) == 200);
+    kept.front()->send(request("GET", "/plain/x"));
+    CHECK(kept.front()->receive_all().empty());
+    kept.back()->send(request("GET", "/plain/x"));
+    CHECK(kept.back()->receive_until("whole answer").find(" 200 ") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(few_descriptors_fixture, "callers, all busy and no room for more, next one is "
+                                           "turned away unread") {
+    engine_script lasting;
+    lasting.events = 200;
+    lasting.event_gap = 20ms;
+    site.set_script("x-1", lasting);
+    std::vector<std::unique_ptr<test_support::raw_caller>> busy;
+    for (std::size_t number = 0; number < most; ++number) {
+        busy.push_back(std::make_unique<test_support::raw_caller>(callers()));
+        busy.back()->send(request("POST", "/stream/x", stream_head()));
+        static_cast<void>(busy.back()->receive_until("id: 1\n"));
+    }
+    CHECK(call("GET", "/plain/more").empty());
+    CHECK(has_logged("caller.turned_away"));
+    busy.front()->leave();
+    CHECK(eventually([this] { return status_of(call("GET", "/plain/more")) == 200; }));
+}
+
 TEST_CASE_FIXTURE(gateway_fixture, "success, not signed or not whole, does not reach the caller") {
     for (const auto answer :
          {plain_answer::unsigned_200, plain_answer::cut_short, plain_answer::garbage}) {
