Have one candidate home of a pool in each failure domain

With all three in one domain, a domain that was cut off had no home: 52 requests were placed without one within 4 s, each reserving its longest output, 22 of them in vain. Ruled out: more candidates in the same order, as each that is out of reach costs 250 ms or more; every daemon its own home, as they would grant the same places. Change: daemons register with their failure domain; candidates are the first of each domain. Conclusion: a cut-off domain is served by a home of its own.

--- a/src/discovery/follower.cpp
+++ b/src/discovery/follower.cpp
@@ -9,6 +9,23 @@
 
 namespace {
 
+/// Between the place and the failure domain in a daemon's entry.
+constexpr char separator = ' ';
+
+std::string to_value(const registered_daemon& daemon) {
+    return http::to_string(daemon.place) + separator + daemon.domain.str();
+}
+
+std::optional<registered_daemon> read_daemon(const daemon_id& id, const std::string& value) {
+    const std::size_t mark = std::min(value.find(separator), value.size());
+    const auto place = http::parse_endpoint(value.substr(0, mark));
+    if (!place) {
+        return std::nullopt;
+    }
+    const std::size_t rest = std::min(mark + 1, value.size());
+    return registered_daemon{id, *place, domain_id{value.substr(rest)}};
+}
+
 bool has_content(const registry_update& update) {
     return update.configuration || update.is_whole || update.has_daemons ||
            !update.present.empty() || !update.absent.empty() || !update.unreadable.empty();
@@ -101,17 +118,16 @@
 }
 
 bool follower::note_daemon(const store::entry& seen, bool is_erased) {
-    const auto place = is_erased ? result<http::endpoint>{} : http::parse_endpoint(seen.value);
-    if (is_erased || !place) {
+    const daemon_id id{seen.key.substr(reader_.daemon_prefix.size())};
+    const auto found = is_erased ? std::nullopt : read_daemon(id, seen.value);
+    if (!found) {
         return daemons_.erase(seen.key) > 0;
     }
-    const daemon_id id{seen.key.substr(reader_.daemon_prefix.size())};
-    const registered_daemon found{id, *place};
     const auto known = daemons_.find(seen.key);
-    if (known != daemons_.end() && known->second == found) {
+    if (known != daemons_.end() && known->second == *found) {
         return false;
     }
-    daemons_[seen.key] = found;
+    daemons_[seen.key] = *found;
     return true;
 }
 
@@ -129,7 +145,7 @@
         return tl::unexpected(lease.error());
     }
     const std::string key = reader_.daemon_prefix + self_.id.str();
-    const std::string value = http::to_string(self_.place);
+    const std::string value = to_value(self_);
     auto outcome = kept_.swap(key, {}, value, *lease);
     if (outcome && !outcome->is_swapped && outcome->current) {
         // An earlier process of this daemon has left its key.
--- a/src/discovery/follower.hpp
+++ b/src/discovery/follower.hpp
@@ -30,6 +30,7 @@
 struct registered_daemon {
     daemon_id id;
     http::endpoint place; ///< where other daemons reach it
+    domain_id domain{};   ///< its failure domain; empty if it has not told
 
     friend bool operator==(const registered_daemon&, const registered_daemon&) = default;
 };
--- a/src/gateway/constants.hpp
+++ b/src/gateway/constants.hpp
@@ -28,8 +28,8 @@
 inline constexpr std::chrono::milliseconds unreachable_pause{1000};
 inline constexpr std::chrono::milliseconds leaving_pause{10'000};
 
-/// Homes tried for a cell, in rendezvous order; more being out of reach at once means that this
-/// daemon is cut off.
+/// Homes tried for a cell, in rendezvous order, at least; one in each failure domain. More being out
+/// of reach at once means that this daemon is cut off.
 inline constexpr std::size_t home_candidates = 3;
 
 /// Time for which an engine's usage is asked for after a stream has failed there or has found no
--- a/src/gateway/internal/parts.cpp
+++ b/src/gateway/internal/parts.cpp
@@ -123,7 +123,7 @@
     rules.pause = configured_.bounds.drain / looks_within_drain;
     follower_ = std::make_unique<discovery::follower>(
         *guarded_, binding_.entries, rules, time_,
-        discovery::registered_daemon{configured_.name, *peers});
+        discovery::registered_daemon{configured_.name, *peers, configured_.domain});
     open_desk(*store_place);
     if (const auto opened = homes_.open(*peers); !opened) {
         return opened;
--- a/src/gateway/placement_client.cpp
+++ b/src/gateway/placement_client.cpp
@@ -83,12 +83,12 @@
 }
 
 std::vector<daemon_id> placement_client::order_of(const cell_id& cell) const {
-    std::vector<daemon_id> daemons;
+    std::vector<scheduling::home_candidate> daemons;
     daemons.reserve(candidates_.size());
     for (const auto& [id, row] : candidates_) {
-        daemons.push_back(id);
+        daemons.push_back({id, row.daemon.domain});
     }
-    return scheduling::cell_homes(cell, daemons, home_candidates);
+    return scheduling::spread_homes(cell, daemons, home_candidates);
 }
 
 placement_client::candidate* placement_client::home_of(const cell_id& cell) {
@@ -436,8 +436,7 @@
     std::map<daemon_id, candidate> kept;
     for (discovery::registered_daemon& daemon : daemons) {
         const auto known = candidates_.find(daemon.id);
-        const bool is_same =
-            known != candidates_.end() && known->second.daemon.place == daemon.place;
+        const bool is_same = known != candidates_.end() && known->second.daemon == daemon;
         const daemon_id id = daemon.id;
         if (is_same) {
             kept[id] = known->second;
--- a/src/scheduling/cell_home.cpp
+++ b/src/scheduling/cell_home.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
+#include <set>
 #include <utility>
 
 namespace cicadahatch::scheduling {
@@ -24,4 +26,28 @@
     return homes;
 }
 
+std::vector<daemon_id> spread_homes(const cell_id& cell, const std::vector<home_candidate>& daemons,
+                                    std::size_t least) {
+    std::vector<daemon_id> names;
+    std::map<daemon_id, domain_id> domains;
+    for (const home_candidate& row : daemons) {
+        names.push_back(row.daemon);
+        domains[row.daemon] = row.domain;
+    }
+    std::vector<daemon_id> homes;
+    std::vector<daemon_id> others;
+    std::set<domain_id> covered;
+    for (const daemon_id& daemon : cell_homes(cell, names, names.size())) {
+        const bool is_first = covered.insert(domains.at(daemon)).second;
+        (is_first ? homes : others).push_back(daemon);
+    }
+    for (const daemon_id& daemon : others) {
+        if (homes.size() >= least) {
+            break;
+        }
+        homes.push_back(daemon);
+    }
+    return homes;
+}
+
 } // namespace cicadahatch::scheduling
--- a/test/discovery/follower_test.cpp
+++ b/test/discovery/follower_test.cpp
@@ -39,7 +39,7 @@
                       {"config", "s/", "d/", read_configuration, read_backend},
                       make_rules(),
                       time,
-                      {daemon_id{"d1"}, {"10.0.0.1", 7000}}};
+                      {daemon_id{"d1"}, {"10.0.0.1", 7000}, domain_id{"a"}}};
 
     static follow_rules make_rules() {
         follow_rules made;
@@ -64,6 +64,25 @@
 
 } // namespace
 
+TEST_CASE_FIXTURE(follower_fixture, "daemons, with and without their failure domain, are listed") {
+    put("d/d2", "10.0.0.2:7000 north");
+    put("d/d3", "10.0.0.3:7000");
+    put("d/d4", "nowhere north");
+    const registry_update update = poll();
+    REQUIRE(update.daemons.size() == 2);
+    CHECK(update.daemons[0].place.host == "10.0.0.2");
+    CHECK(update.daemons[0].domain == domain_id{"north"});
+    CHECK(update.daemons[1].domain.empty());
+}
+
+TEST_CASE_FIXTURE(follower_fixture, "registration, is read back with its failure domain") {
+    REQUIRE(followed.keep_presence());
+    const registry_update update = poll();
+    REQUIRE(update.daemons.size() == 1);
+    CHECK(update.daemons[0] ==
+          registered_daemon{daemon_id{"d1"}, {"10.0.0.1", 7000}, domain_id{"a"}});
+}
+
 TEST_CASE_FIXTURE(follower_fixture, "poll, first time, everything is listed") {
     put("config", "3");
     put("s/a", "x");
--- a/test/scheduling/cell_home_invariant_test.cpp
+++ b/test/scheduling/cell_home_invariant_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <map>
 #include <set>
 
 namespace {
@@ -88,6 +89,33 @@
     CHECK(used.size() == all.size());
 }
 
+TEST_CASE("spread_homes, any one domain is lost, every other one has a home") {
+    constexpr std::size_t least = 3;
+    random_source random{1};
+    for (int number = 0; number < 500; ++number) {
+        const cell_id cell{"cell-" + std::to_string(number)};
+        const std::vector<daemon_id> names = daemons(1 + static_cast<int>(random.below(40)));
+        const std::size_t domain_count = 1 + random.below(6);
+        std::vector<home_candidate> all;
+        std::map<daemon_id, domain_id> domain_of;
+        for (const daemon_id& name : names) {
+            domain_of[name] = domain_id{std::to_string(random.below(domain_count))};
+            all.push_back({name, domain_of[name]});
+        }
+        const std::vector<daemon_id> homes = spread_homes(cell, all, least);
+        CHECK(homes.front() == cell_homes(cell, names).front());
+        CHECK(homes.size() >= std::min(least, names.size()));
+        std::set<domain_id> covered;
+        for (const daemon_id& home : homes) {
+            covered.insert(domain_of[home]);
+        }
+        for (const auto& [name, domain] : domain_of) {
+            CHECK(covered.contains(domain));
+        }
+        CHECK(std::set<daemon_id>(homes.begin(), homes.end()).size() == homes.size());
+    }
+}
+
 TEST_CASE_FIXTURE(two_homes_fixture, "new home, before all daemons registered, grants nothing") {
     hold(10);
     begin_home(next, {daemon_id{"a"}, daemon_id{"b"}}, time.now());
