--- a/src/gateway/caller_table.hpp
+++ b/src/gateway/caller_table.hpp
@@ -3,6 +3,7 @@
 #include "src/forwarding/caller_connection.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <vector>
 
--- a/src/gateway/constants.hpp
+++ b/src/gateway/constants.hpp
@@ -28,7 +28,7 @@
 inline constexpr std::chrono::milliseconds unreachable_pause{1000};
 inline constexpr std::chrono::milliseconds leaving_pause{10'000};
 
-/// Homes tried for a cell, in rendezvous order, at least; one in each failure domain. More being out
+/// Homes tried for a cell, at least: one in each failure domain, in rendezvous order. All being out
 /// of reach at once means that this daemon is cut off.
 inline constexpr std::size_t home_candidates = 3;
 
--- a/src/gateway/placement_client.cpp
+++ b/src/gateway/placement_client.cpp
@@ -83,12 +83,16 @@
 }
 
 std::vector<daemon_id> placement_client::order_of(const cell_id& cell) const {
+    const auto known = orders_.find(cell);
+    if (known != orders_.end()) {
+        return known->second;
+    }
     std::vector<scheduling::home_candidate> daemons;
     daemons.reserve(candidates_.size());
     for (const auto& [id, row] : candidates_) {
         daemons.push_back({id, row.daemon.domain});
     }
-    return scheduling::spread_homes(cell, daemons, home_candidates);
+    return orders_[cell] = scheduling::spread_homes(cell, daemons, home_candidates);
 }
 
 placement_client::candidate* placement_client::home_of(const cell_id& cell) {
@@ -452,6 +456,7 @@
         }
     }
     candidates_ = std::move(kept);
+    orders_.clear();
     for (const auto& channel : dropped) {
         channel->close();
     }
--- a/src/gateway/placement_client.hpp
+++ b/src/gateway/placement_client.hpp
@@ -85,6 +85,8 @@
     daemon_id self_;
     std::map<daemon_id, candidate> candidates_;
     std::map<request_id, ticket_ptr> tickets_; ///< by request and attempt
+    /// Homes of the cells asked for so far; forgotten as the daemons change.
+    mutable std::map<cell_id, std::vector<daemon_id>> orders_;
 };
 
 } // namespace cicadahatch::gateway
