--- a/src/settings/internal/gateway_fields.cpp
+++ b/src/settings/internal/gateway_fields.cpp
@@ -34,7 +34,8 @@
         make_field("memory_mb", &process_limits::memory_mb,
                    integer(least_memory_mb, most_memory_mb, "MB"), "memory of the process"),
         make_field("descriptors", &process_limits::descriptors,
-                   integer(least_descriptors, most_descriptors), "open files and sockets"),
+                   integer(least_descriptors, most_descriptors),
+                   "open files and sockets; callers have at most half of those above 200 open"),
     };
 }
 
