Leave servers that say they leave or want nothing; bound answers without end

Looking for what other operators met: a late second copy of an answer to a call of an engine's own interface was taken for the answer to a caller's request and handed on with its status 200; bytes that complete no event kept a resumable stream's engine for ever; an event without an end, and the body of a failed stream, filled the memory. Change: the directory keeps who has said that it leaves until it starts anew, whatever its entry says, and homes are told; daemons name the engines that they can't use when they ask for a place, so that the home takes another one; callers are told when the first server wants requests again. A success without an id is an answer to a caller's request no more, an unsigned one is never handed on, an engine's silence counts from its last whole event, events and failures are bounded.

--- a/src/balancing/backend_load.cpp
+++ b/src/balancing/backend_load.cpp
@@ -1,5 +1,7 @@
 #include "src/balancing/backend_load.hpp"
 
+#include <algorithm>
+
 namespace cicadahatch::balancing {
 
 namespace {
@@ -41,6 +43,12 @@
     return true;
 }
 
+bool spare(backend_load& load, time_point until) {
+    const bool is_longer = until > load.spare_until;
+    load.spare_until = std::max(load.spare_until, until);
+    return is_longer;
+}
+
 void record_prefill(backend_load& load, duration taken) {
     if (load.prefill_time == duration::zero()) {
         load.prefill_time = taken;
--- a/src/balancing/backend_load.hpp
+++ b/src/balancing/backend_load.hpp
@@ -18,7 +18,8 @@
     duration prefill_time{0};      ///< moving average over this daemon's prefills
     std::uint32_t failures_in_row = 0;
     time_point ejected_until;
-    time_point full_until; ///< it has just refused a place
+    time_point full_until;  ///< it has just refused a place
+    time_point spare_until; ///< it has asked this daemon to send nothing
 };
 
 using load_table = table<backend_id, backend_load>;
@@ -39,6 +40,10 @@
 /// \returns whether it was ejected by this
 bool record_failure(backend_load& load, const ejection_rules& rules, time_point now);
 
+/// \brief Notes that a backend server wants nothing from this daemon for a while.
+/// \returns whether that is longer than it had asked for before
+bool spare(backend_load& load, time_point until);
+
 /// \brief Takes a prefill's duration into the moving average.
 void record_prefill(backend_load& load, duration taken);
 
--- a/src/cells/cell_messages.cpp
+++ b/src/cells/cell_messages.cpp
@@ -36,6 +36,8 @@
     spec.model = asked.model;
     spec.team = asked.team;
     spec.rank = asked.work_rank;
+    spec.level = asked.level;
+    spec.avoided = asked.avoided;
     spec.prompt_tokens = asked.prompt_tokens + asked.generated_tokens;
     spec.expected_output_tokens = asked.expected_output_tokens;
     spec.max_output_tokens = asked.max_output_tokens;
--- a/src/discovery/directory.cpp
+++ b/src/discovery/directory.cpp
@@ -6,6 +6,9 @@
 
 using what = directory_change::what;
 
+/// Marks kept: several times the backend servers of the largest deployment.
+constexpr std::size_t max_leaving = 4'096;
+
 what difference(const listed_backend& before, const backend& now) {
     if (before.registered.started != now.started || before.registered.place != now.place) {
         return what::restarted;
@@ -18,7 +21,35 @@
 
 } // namespace
 
-void directory::upsert(const backend& registered, std::vector<directory_change>& changes) {
+bool directory::has_said_leaving(const backend_id& id, incarnation started) const {
+    const auto found = leaving_.find(id);
+    return found != leaving_.end() && found->second == started;
+}
+
+bool directory::mark_leaving(const backend_id& id, incarnation started,
+                             std::vector<directory_change>& changes) {
+    if (has_said_leaving(id, started)) {
+        return false;
+    }
+    if (leaving_.insert_or_assign(id, started).second) {
+        leaving_order_.push_back(id);
+    }
+    if (leaving_order_.size() > max_leaving) {
+        leaving_.erase(leaving_order_.front());
+        leaving_order_.pop_front();
+    }
+    listed_backend* known = rows_.find(id);
+    if (known != nullptr && known->registered.started == started &&
+        !known->registered.is_draining) {
+        known->registered.is_draining = true;
+        changes.push_back({what::draining, id});
+    }
+    return true;
+}
+
+void directory::upsert(const backend& listed, std::vector<directory_change>& changes) {
+    backend registered = listed;
+    registered.is_draining = listed.is_draining || has_said_leaving(listed.id, listed.started);
     listed_backend* known = rows_.find(registered.id);
     if (known == nullptr) {
         rows_.insert({registered.id, registered, {}});
--- a/src/discovery/directory.hpp
+++ b/src/discovery/directory.hpp
@@ -4,7 +4,9 @@
 #include "src/core/table.hpp"
 #include "src/discovery/backend.hpp"
 
+#include <deque>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace cicadahatch::discovery {
@@ -31,12 +33,18 @@
 class directory {
 public:
     /// \brief Takes in an entry. The same id with another start is another process.
-    void upsert(const backend& registered, std::vector<directory_change>& changes);
+    void upsert(const backend& listed, std::vector<directory_change>& changes);
 
     /// \param keep_until when it counts as gone; not later than now: at once
     void remove(const backend_id& id, time_point keep_until, time_point now,
                 std::vector<directory_change>& changes);
 
+    /// \brief Notes that a process has said itself that it leaves: it takes no new work, whatever
+    /// its entry says, until it starts anew.
+    /// \returns whether that is new
+    bool mark_leaving(const backend_id& id, incarnation started,
+                      std::vector<directory_change>& changes);
+
     /// \brief Drops the entries whose time has come.
     void expire(time_point now, std::vector<directory_change>& changes);
 
@@ -49,7 +57,13 @@
     [[nodiscard]] const std::vector<listed_backend>& rows() const { return rows_.rows(); }
 
 private:
+    [[nodiscard]] bool has_said_leaving(const backend_id& id, incarnation started) const;
+
     table<backend_id, listed_backend> rows_;
+    /// Processes that have said that they leave, and their ids in the order of saying so. They
+    /// outlast the entry, which may come back for a moment.
+    std::unordered_map<backend_id, incarnation> leaving_;
+    std::deque<backend_id> leaving_order_;
 };
 
 /// \returns the name of the change for logs
--- a/src/forwarding/decode_stream.cpp
+++ b/src/forwarding/decode_stream.cpp
@@ -20,15 +20,20 @@
 /// RFC 9110, 15.5.20.
 constexpr unsigned status_misdirected = 421;
 
-/// When a silent engine is given up. A stream that can't go on elsewhere keeps its engine.
-time_point silent_at(const gateway_state& state, const request_life& life, bool has_begun) {
+/// Bytes of an event that has no end yet, after which they are taken for no event: a thousand times
+/// the size of an event of some tokens.
+constexpr std::size_t max_event_bytes = 256UL * 1024;
+
+/// When an engine is given up that has made no event since a moment. A stream that can't go on
+/// elsewhere keeps its engine.
+time_point silent_at(const request_life& life, time_point since, bool has_begun) {
     if (!life.route().is_resumable) {
         return life.ends_at();
     }
     const duration allowed =
         has_begun ? std::chrono::duration_cast<duration>(life.route().gap_objective * silent_pauses)
                   : duration{life.route().gap_objective};
-    return std::min(life.ends_at(), state.time.now() + allowed);
+    return std::min(life.ends_at(), since + allowed);
 }
 
 asio::awaitable<bool> hand_on(gateway_state& state, request_life& life, caller_connection& caller,
@@ -53,11 +58,20 @@
 asio::awaitable<attempt_end> relay(gateway_state& state, life_ptr life, caller_connection& caller,
                                    connection_ptr engine, stream_run& run) {
     std::string bytes;
+    time_point last_event_at = state.time.now();
     while (!engine->is_answer_complete()) {
-        engine->expire_at(silent_at(state, *life, run.has_begun));
+        // Bytes that complete no event are no sign of progress.
+        engine->expire_at(silent_at(*life, last_event_at, run.has_begun));
         bytes.clear();
         const std::error_code error = co_await engine->read_body(bytes);
         std::string events = run.events.take(bytes);
+        if (!events.empty()) {
+            last_event_at = state.time.now();
+        }
+        if (run.events.partial().size() > max_event_bytes) {
+            run.reason = "event without an end";
+            co_return attempt_end::broken;
+        }
         if (!co_await hand_on(state, *life, caller, engine, run, std::move(events))) {
             life->end(ending::caller_left);
             co_return attempt_end::cut;
@@ -83,6 +97,12 @@
     answer.facts = state.wire.read_answer(answer.head);
     while (!answer.error && !engine->is_answer_complete()) {
         answer.error = co_await engine->read_body(answer.body);
+        if (!answer.error && answer.body.size() > max_whole_answer_bytes) {
+            answer.error = errc::too_large;
+        }
+    }
+    if (!answer.error && is_success(answer.status)) {
+        answer.error = errc::bad_answer; // It bears no signature, so it is not the engine's.
     }
     if (answer.error) {
         run.reason = answer.error.message();
@@ -114,7 +134,7 @@
     options.target = place.engine.id;
     options.time_left =
         std::chrono::duration_cast<std::chrono::milliseconds>(life.ends_at() - state.time.now());
-    options.priority = life.route().priority;
+    options.priority = run.wanted.level;
     options.hold = place.hold;
     options.last_event = run.events.last_event();
     if (kept) {
@@ -141,7 +161,7 @@
                                        std::optional<kept_prefill> kept, stream_run& run) {
     run.events.restart();
     backend_request sent = decode_request(state, *life, place, kept, run);
-    const time_point limit = silent_at(state, *life, false);
+    const time_point limit = silent_at(*life, state.time.now(), false);
     const open_exchange exchange = co_await open(state, life, place.engine, std::move(sent), limit);
     if (exchange.error) {
         run.reason = exchange.error.message();
--- a/src/forwarding/exchange.cpp
+++ b/src/forwarding/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "src/forwarding/constants.hpp"
 #include "src/forwarding/error.hpp"
+#include "src/forwarding/relay_answer.hpp"
 
 namespace cicadahatch::forwarding {
 
@@ -10,6 +11,9 @@
 /// Answers to other requests that are dropped before the connection is given up.
 constexpr int max_foreign_answers = 3;
 
+/// RFC 9110, 15.6.4.
+constexpr unsigned status_unavailable = 503;
+
 asio::awaitable<open_exchange> obtain_connection(gateway_state& state, const life_ptr& life,
                                                  const discovery::backend& to) {
     open_exchange obtained;
@@ -43,16 +47,36 @@
     co_return error;
 }
 
+/// Takes in what a backend server says of itself in the head of any of its answers.
+void note_server(gateway_state& state, const discovery::backend& from, unsigned status,
+                 const answer_facts& facts) {
+    const bool is_news = facts.is_leaving && note_leaving(state, from.id, from.started);
+    if (is_news && state.places != nullptr && from.role != backend_role::plain) {
+        state.places->engine_leaves(from);
+    }
+    if (status != status_unavailable || !facts.retry_after) {
+        return;
+    }
+    auto& load = balancing::load_of(state.loads, from.id, from.started);
+    if (balancing::spare(load, state.time.now() + *facts.retry_after)) {
+        state.log.write(logging::weight::notable, "backend.spared",
+                        {{"backend", from.id.str()}, {"for_ms", *facts.retry_after}});
+    }
+}
+
 /// Reads heads until one belongs to the request.
-asio::awaitable<std::error_code> read_own_head(gateway_state& state, connection_ptr connection,
-                                               request_id expected) {
+asio::awaitable<std::error_code> read_own_head(gateway_state& state, discovery::backend from,
+                                               connection_ptr connection, request_id expected) {
     for (int turn = 0; turn <= max_foreign_answers; ++turn) {
         std::error_code error = co_await connection->read_head();
         if (error) {
             co_return error;
         }
         const answer_facts facts = state.wire.read_answer(connection->head());
-        if (facts.id.empty() || facts.id == expected) {
+        note_server(state, from, connection->status(), facts);
+        // An answer of success without an id is that to a call of the engine's own interface.
+        const bool may_lack_id = expected.empty() || !is_success(connection->status());
+        if (facts.id == expected || (facts.id.empty() && may_lack_id)) {
             co_return error;
         }
         error = co_await drain_answer(connection);
@@ -82,7 +106,7 @@
     const request_id expected = state.wire.read_caller(sent).id;
     exchange.connection->expire_at(silent_at);
     exchange.connection->begin(std::move(sent));
-    exchange.error = co_await read_own_head(state, exchange.connection, expected);
+    exchange.error = co_await read_own_head(state, to, exchange.connection, expected);
     if (exchange.error) {
         exchange.connection->close();
         if (life) {
--- a/src/forwarding/find_place.cpp
+++ b/src/forwarding/find_place.cpp
@@ -92,7 +92,7 @@
 }
 
 std::vector<discovery::backend> open_decodes(gateway_state& state, const stream_run& run) {
-    auto open = state.backends.open_backends(run.wanted.service);
+    auto open = usable_backends(state, run.wanted.service);
     std::erase_if(open, [&run](const discovery::backend* engine) {
         const bool has_failed =
             std::find(run.failed.begin(), run.failed.end(), engine->id) != run.failed.end();
@@ -126,7 +126,7 @@
 asio::awaitable<place_attempt> take_granted(gateway_state& state, life_ptr life,
                                             granted_place granted, stream_run& run) {
     const discovery::backend* decode = state.backends.find(granted.decode);
-    if (decode == nullptr || decode->is_draining) {
+    if (decode == nullptr || !is_usable(state, *decode)) {
         co_return place_attempt{std::nullopt, true};
     }
     const discovery::backend engine = *decode;
@@ -138,7 +138,7 @@
     place->is_granted = true;
     place->reads_itself = granted.prefill.empty() || granted.prefill == granted.decode;
     const discovery::backend* prefill = state.backends.find(granted.prefill);
-    if (!place->reads_itself && prefill != nullptr && !prefill->is_draining) {
+    if (!place->reads_itself && prefill != nullptr && is_usable(state, *prefill)) {
         place->prefill = *prefill;
     }
     co_return taken;
@@ -157,6 +157,7 @@
     run.wanted.generated_tokens = tokens_made(*life, run);
     for (int turn = 0; turn < max_grants && !life->is_over(); ++turn) {
         run.wanted.attempt = attempt_number{run.wanted.attempt.value() + 1};
+        run.wanted.avoided = spared_backends(state, run.wanted.service);
         const placement_answer answer = co_await state.places->ask(life, run.wanted);
         if (answer.is == placement_answer::kind::unreachable) {
             co_return co_await take_any_place(state, life, run);
--- a/src/forwarding/gateway_state.cpp
+++ b/src/forwarding/gateway_state.cpp
@@ -24,6 +24,39 @@
     }
 }
 
+bool note_leaving(gateway_state& state, const backend_id& id, incarnation started) {
+    std::vector<discovery::directory_change> changes;
+    if (!state.backends.mark_leaving(id, started, changes)) {
+        return false;
+    }
+    state.connections.forget(id);
+    state.log.write(logging::weight::notable, "backend.leaving",
+                    {{"backend", id.str()}, {"started", started.value()}});
+    return true;
+}
+
+bool is_usable(gateway_state& state, const discovery::backend& to) {
+    const auto& load = balancing::load_of(state.loads, to.id, to.started);
+    return !to.is_draining && load.spare_until <= state.time.now();
+}
+
+std::vector<const discovery::backend*> usable_backends(gateway_state& state,
+                                                       const service_id& service) {
+    auto open = state.backends.open_backends(service);
+    std::erase_if(open, [&state](const auto* row) { return !is_usable(state, *row); });
+    return open;
+}
+
+std::vector<backend_id> spared_backends(gateway_state& state, const service_id& service) {
+    std::vector<backend_id> spared;
+    for (const discovery::backend* row : state.backends.open_backends(service)) {
+        if (!is_usable(state, *row)) {
+            spared.push_back(row->id);
+        }
+    }
+    return spared;
+}
+
 balancing::choice_inputs inputs_of(gateway_state& state) {
     return {state.loads, state.random, state.domain, state.time.now()};
 }
--- a/src/forwarding/gateway_state.hpp
+++ b/src/forwarding/gateway_state.hpp
@@ -59,6 +59,21 @@
 /// \brief Fits the parts of the retry budgets to the number of daemons.
 void set_daemons(gateway_state& state, std::size_t daemons);
 
+/// \returns the backend servers of a service that this daemon may send new work to
+[[nodiscard]] std::vector<const discovery::backend*> usable_backends(gateway_state& state,
+                                                                     const service_id& service);
+
+/// \returns the engines of a service that take work, but want none from this daemon now
+[[nodiscard]] std::vector<backend_id> spared_backends(gateway_state& state,
+                                                      const service_id& service);
+
+/// \brief Takes in that a process of a backend server has said that it leaves.
+/// \returns whether that is new
+bool note_leaving(gateway_state& state, const backend_id& id, incarnation started);
+
+/// \returns whether a backend server takes new work from this daemon
+[[nodiscard]] bool is_usable(gateway_state& state, const discovery::backend& to);
+
 /// \returns what a choice among backend servers depends on
 [[nodiscard]] balancing::choice_inputs inputs_of(gateway_state& state);
 
--- a/src/forwarding/placements.hpp
+++ b/src/forwarding/placements.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "src/discovery/backend.hpp"
 #include "src/forwarding/asio.hpp"
 #include "src/forwarding/request_life.hpp"
 
 #include <chrono>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace cicadahatch::forwarding {
 
@@ -13,11 +15,13 @@
 struct placement_request {
     service_id service;
     attempt_number attempt;
-    std::uint32_t generated_tokens = 0;  ///< by earlier attempts
-    bool is_urgent = true;               ///< goes before what is not
+    std::uint32_t generated_tokens = 0; ///< by earlier attempts
+    std::uint8_t level = 0;             ///< order among the service's requests; 0 goes first
+    bool is_late = false; ///< can't meet its objective any more: goes behind all that can
     std::chrono::milliseconds target{0}; ///< longest useful wait for the next event
     std::optional<time_point> since;     ///< from which the target counts; the arrival if not set
     std::chrono::milliseconds late_target{0}; ///< the same for a caller that comes back
+    std::vector<backend_id> avoided;          ///< engines that this daemon can't use now
 };
 
 /// \brief Where a stream is to run.
@@ -64,6 +68,8 @@
     virtual void prefill_finished(const request_life& life, const placement_request& of) = 0;
     virtual void first_event(const request_life& life, const placement_request& of) = 0;
     /// \param output_tokens made, zero if not known
+    /// \brief Tells that an engine has said that it leaves.
+    virtual void engine_leaves(const discovery::backend& engine) = 0;
     virtual void ended(const request_life& life, const placement_request& of, placement_end how,
                        std::uint32_t output_tokens) = 0;
 };
--- a/src/forwarding/plain_forward.cpp
+++ b/src/forwarding/plain_forward.cpp
@@ -32,7 +32,7 @@
 
 /// \returns the server to try next; nothing if all have been tried
 std::optional<discovery::backend> next_server(gateway_state& state, const plain_run& run) {
-    auto candidates = state.backends.open_backends(run.service);
+    auto candidates = usable_backends(state, run.service);
     std::erase_if(candidates, [&run](const discovery::backend* candidate) {
         return std::find(run.tried.begin(), run.tried.end(), candidate->id) != run.tried.end();
     });
@@ -62,7 +62,7 @@
     send_options options;
     options.target = to.id;
     options.time_left = time_left(state, *life);
-    options.priority = life->route().priority;
+    options.priority = life->table().level_of(life->route(), run.service);
     ++balancing::load_of(state.loads, to.id, to.started).running;
     whole_answer answer =
         co_await call(state, life, to, prepared(state, *life, options), life->ends_at());
@@ -120,6 +120,18 @@
     return !life.is_over() && (run.reached == progress::unsent || is_repeatable);
 }
 
+/// \returns how long it takes until one of the service's servers wants requests again; zero if one
+/// does now
+std::chrono::milliseconds spared_for(gateway_state& state, const service_id& service) {
+    std::optional<duration> shortest;
+    for (const discovery::backend* row : state.backends.open_backends(service)) {
+        const auto& load = balancing::load_of(state.loads, row->id, row->started);
+        const duration left = std::max(duration{0}, load.spare_until - state.time.now());
+        shortest = std::min(shortest.value_or(left), left);
+    }
+    return std::chrono::ceil<std::chrono::milliseconds>(shortest.value_or(duration{0}));
+}
+
 asio::awaitable<void> deliver(gateway_state& state, life_ptr life, caller_connection& caller,
                               whole_answer answer, unsigned sends) {
     const unsigned status = answer.status;
@@ -133,7 +145,8 @@
         co_await deliver(state, life, caller, std::move(*run.failure), run.sends);
         co_return;
     }
-    caller_answer answer = failure_answer(run.reached, life->ended(), plain_retry);
+    const auto retry_after = std::max(plain_retry, spared_for(state, run.service));
+    caller_answer answer = failure_answer(run.reached, life->ended(), retry_after);
     const unsigned status = answer.result_int();
     if (life->ended() != ending::caller_left) {
         co_await caller.send(std::move(answer));
--- a/src/forwarding/read_prompt.cpp
+++ b/src/forwarding/read_prompt.cpp
@@ -16,7 +16,7 @@
     if (place.is_granted) {
         return place.prefill ? std::vector{*place.prefill} : std::vector<discovery::backend>{};
     }
-    auto open = state.backends.open_backends(run.wanted.service);
+    auto open = usable_backends(state, run.wanted.service);
     std::erase_if(open, [](const discovery::backend* engine) {
         return engine->role != backend_role::prefill;
     });
@@ -46,7 +46,7 @@
     options.target = to.id;
     options.time_left =
         std::chrono::duration_cast<std::chrono::milliseconds>(life.ends_at() - state.time.now());
-    options.priority = life.route().priority;
+    options.priority = run.wanted.level;
     options.is_prefill_only = true;
     options.last_event = run.events.last_event();
     return options;
--- a/src/forwarding/relay_answer.cpp
+++ b/src/forwarding/relay_answer.cpp
@@ -23,7 +23,8 @@
     metrics::request_observation seen;
     const routing::route& of = life.route();
     seen.service = of.services.empty() ? service_id{} : of.services.front().service;
-    seen.work_rank = of.priority == 0 ? rank::urgent : rank::deferrable;
+    const bool goes_first = life.table().level_of(of, seen.service) == 0;
+    seen.work_rank = goes_first ? rank::urgent : rank::deferrable;
     seen.outcome = outcome_of(life, status);
     if (seen.outcome == metrics::request_outcome::refused) {
         seen.reason = metrics::refusal_reason{std::string{reason}};
--- a/src/forwarding/stream_forward.cpp
+++ b/src/forwarding/stream_forward.cpp
@@ -34,7 +34,7 @@
     placement_request wanted;
     const routing::route& of = life.route();
     wanted.service = routing::choose_service(of, state.random.unit());
-    wanted.is_urgent = of.priority == 0;
+    wanted.level = life.table().level_of(of, wanted.service);
     wanted.target = of.objective;
     wanted.late_target = longest_wait(of);
     return wanted;
@@ -151,7 +151,7 @@
 void ask_for_the_rest(stream_run& run, const request_life& life, time_point now) {
     run.wanted.target = longest_wait(life.route());
     run.wanted.since = now;
-    run.wanted.is_urgent = false;
+    run.wanted.is_late = true;
 }
 
 asio::awaitable<void> finish_failed(gateway_state& state, life_ptr life, caller_connection& caller,
--- a/src/forwarding/wire_protocol.hpp
+++ b/src/forwarding/wire_protocol.hpp
@@ -40,6 +40,9 @@
     request_id id;           ///< of the request that it answers; empty if not stated
     bool is_signed = false;  ///< a success without a signature is not the server's
     bool is_not_run = false; ///< the server states that it has not run the request
+    bool is_leaving = false; ///< the server takes no more work until it starts anew
+    /// How long the server wants nothing from this daemon.
+    std::optional<std::chrono::milliseconds> retry_after;
 };
 
 /// \brief A finished prefill.
--- a/src/gateway/cell_parts.cpp
+++ b/src/gateway/cell_parts.cpp
@@ -19,8 +19,10 @@
 /// A decode engine reads prompts at half of a prefill engine's speed.
 constexpr double decode_prefill_part = 0.5;
 
-/// Part of the engines kept for work that is not urgent while urgent work floods in.
-constexpr double deferrable_floor = 0.05;
+/// Parts of the engines kept, while other work floods in, for requests that can't be on time any
+/// more, and for each level of priority behind a service's first: no level is starved.
+constexpr double late_floor = 0.05;
+constexpr double level_floor = 0.05;
 
 scheduling::engine_spec spec_of(const discovery::backend& engine,
                                 const routing::engine_traits& traits) {
@@ -56,7 +58,9 @@
     }
     scheduling::service_spec described;
     described.id = id;
-    described.deferrable.floor = deferrable_floor;
+    described.deferrable.floor = late_floor;
+    described.urgent.level_floor = level_floor;
+    described.deferrable.level_floor = level_floor;
     parts.services.push_back(described);
     return parts;
 }
--- a/src/gateway/home_server.cpp
+++ b/src/gateway/home_server.cpp
@@ -44,6 +44,7 @@
     home_.renew(peer);
     for (const rpc::message& message : received) {
         note_doubt(message);
+        note_leaving(message);
         home_.handle(peer, message);
     }
     schedule();
@@ -87,6 +88,20 @@
     }
 }
 
+void home_server::note_leaving(const rpc::message& message) {
+    const auto* told = std::get_if<rpc::engine_leaving>(&message);
+    if (told == nullptr) {
+        return;
+    }
+    forwarding::note_leaving(state_, told->backend, told->started);
+    const auto cell = home_.cells().find(told->cell);
+    const auto* engine =
+        cell == home_.cells().end() ? nullptr : cell->second.engines.find(told->backend);
+    if (engine != nullptr && !engine->is_leaving) {
+        home_.refresh();
+    }
+}
+
 void home_server::doubt_engines_of_new_cells(time_point now) {
     for (const auto& [id, cell] : home_.cells()) {
         if (!begun_.insert(id).second) {
@@ -142,7 +157,9 @@
         for (const scheduling::engine& row : cell.engines.rows()) {
             const bool is_doubted = is_partial() || doubted_until_.contains(row.id);
             const discovery::backend* engine = state_.backends.find(row.id);
-            if (is_doubted && engine != nullptr && engine->role == backend_role::decode) {
+            const bool is_asked = engine != nullptr && engine->role == backend_role::decode &&
+                                  forwarding::is_usable(state_, *engine);
+            if (is_doubted && is_asked) {
                 asio::co_spawn(state_.loop, ask_engine(*engine), asio::detached);
             }
         }
--- a/src/gateway/home_server.hpp
+++ b/src/gateway/home_server.hpp
@@ -44,6 +44,8 @@
     [[nodiscard]] bool join(const std::shared_ptr<peer_channel>& from, const daemon_id& peer);
     /// Streams that failed may go on at their engine for a while.
     void note_doubt(const rpc::message& message);
+    /// Other daemons tell of engines that have said that they leave.
+    void note_leaving(const rpc::message& message);
     /// Daemons that died may have left streams at the engines of a cell that this home has taken
     /// over; engines go on with them until they notice.
     void doubt_engines_of_new_cells(time_point now);
--- a/src/gateway/placement_client.cpp
+++ b/src/gateway/placement_client.cpp
@@ -40,7 +40,9 @@
     asked.attempt = wanted.attempt;
     asked.cell = cell_of(wanted.service);
     asked.service = wanted.service;
-    asked.work_rank = wanted.is_urgent ? rank::urgent : rank::deferrable;
+    asked.work_rank = wanted.is_late ? rank::deferrable : rank::urgent;
+    asked.level = wanted.level;
+    asked.avoided = wanted.avoided;
     asked.prompt_tokens = facts.prompt_tokens;
     asked.generated_tokens = wanted.generated_tokens;
     asked.expected_output_tokens = facts.expected_output_tokens.value_or(0);
@@ -152,7 +154,8 @@
                       {"answer", static_cast<int>(answer.is)},
                       {"prefill", answer.place.prefill.str()},
                       {"decode", answer.place.decode.str()},
-                      {"urgent", wanted.is_urgent},
+                      {"level", wanted.level},
+                      {"late", wanted.is_late},
                       {"patience_ms", life->facts().patience.value_or(milliseconds{0})},
                       {"reason", answer.reason},
                       {"retry_after_ms", answer.retry_after},
@@ -223,6 +226,11 @@
     }
 }
 
+void placement_client::engine_leaves(const discovery::backend& engine) {
+    const cell_id cell = cell_of(engine.service);
+    tell(cell, rpc::engine_leaving{cell, engine.id, engine.started});
+}
+
 void placement_client::ended(const request_life& life, const placement_request& of,
                              placement_end how, std::uint32_t output_tokens) {
     const cell_id cell = cell_of(of.service);
--- a/src/gateway/placement_client.hpp
+++ b/src/gateway/placement_client.hpp
@@ -26,6 +26,7 @@
                           const forwarding::placement_request& of) override;
     void first_event(const forwarding::request_life& life,
                      const forwarding::placement_request& of) override;
+    void engine_leaves(const discovery::backend& engine) override;
     void ended(const forwarding::request_life& life, const forwarding::placement_request& of,
                forwarding::placement_end how, std::uint32_t output_tokens) override;
 
--- a/src/rpc/internal/message_fields.hpp
+++ b/src/rpc/internal/message_fields.hpp
@@ -36,7 +36,9 @@
                       &acquire::prefix_block_tokens,
                       &acquire::max_output_tokens,
                       &acquire::prompt_key,
-                      &acquire::late_first_token_target};
+                      &acquire::late_first_token_target,
+                      &acquire::level,
+                      &acquire::avoided};
 }
 
 constexpr auto fields_of(tag<granted>) {
@@ -152,6 +154,20 @@
                       &configuration_shard::value};
 }
 
+constexpr auto fields_of(tag<engine_leaving>) {
+    return std::tuple{&engine_leaving::cell, &engine_leaving::backend, &engine_leaving::started};
+}
+
+constexpr auto fields_of(tag<registry_change>) {
+    return std::tuple{&registry_change::key, &registry_change::value, &registry_change::modified,
+                      &registry_change::is_erased};
+}
+
+constexpr auto fields_of(tag<registry_look>) {
+    return std::tuple{&registry_look::after, &registry_look::through, &registry_look::changes,
+                      &registry_look::settling};
+}
+
 /// \brief The largest enumerator of each enumeration that travels; larger numbers are malformed.
 constexpr auto last_enumerator(tag<rank>) {
     return rank::deferrable;
--- a/src/rpc/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -33,6 +33,8 @@
     std::uint64_t prompt_key = 0; ///< the same when a refused caller comes back; zero: not known
     /// Target of a caller that comes back, too late for the one above; zero: the same.
     std::chrono::microseconds late_first_token_target{};
+    std::uint8_t level = 0; ///< order among the requests of its service and rank; 0 goes first
+    std::vector<backend_id> avoided{}; ///< engines that the sender can't use now
 };
 
 /// \brief The home's answer: what is reserved for the request.
@@ -247,9 +249,33 @@
     std::string value;       ///< opaque
 };
 
+/// \brief Tells a home that an engine of its cell has said that it leaves.
+struct engine_leaving {
+    cell_id cell;
+    backend_id backend;
+    incarnation started; ///< of the process that has said so
+};
+
+/// \brief A change of one key of the store.
+struct registry_change {
+    std::string key;
+    std::string value; ///< empty if erased
+    revision modified;
+    bool is_erased = false;
+};
+
+/// \brief What the sender has just read from the store; see discovery::store_look.
+struct registry_look {
+    revision after;
+    revision through;
+    std::vector<registry_change> changes;
+    std::chrono::milliseconds settling{};
+};
+
 /// \brief Any message. A message's number on the wire is its place here: append at the end only.
 using message = std::variant<acquire, granted, refused, prefill_finished, first_token, release,
                              withdraw, register_grants, copy_grants, request_registration, gossip,
-                             sync_request, sync_reply, fetch_configuration, configuration_shard>;
+                             sync_request, sync_reply, fetch_configuration, configuration_shard,
+                             engine_leaving, registry_look>;
 
 } // namespace cicadahatch::rpc
--- a/test/discovery/directory_test.cpp
+++ b/test/discovery/directory_test.cpp
@@ -81,3 +81,32 @@
     listed.expire(time.now(), changes);
     CHECK(open() == 1);
 }
+
+TEST_CASE_FIXTURE(directory_fixture,
+                  "server says that it leaves, entry says ready, takes no work") {
+    upsert(server("a", 1));
+    CHECK(listed.mark_leaving(backend_id{"a"}, incarnation{1}, changes));
+    CHECK(changes.back().happened == what::draining);
+    CHECK_FALSE(listed.mark_leaving(backend_id{"a"}, incarnation{1}, changes));
+    upsert(server("a", 1));
+    CHECK(open() == 0);
+}
+
+TEST_CASE_FIXTURE(directory_fixture,
+                  "server that has said it leaves, entry returns, takes no work") {
+    upsert(server("a", 1));
+    listed.mark_leaving(backend_id{"a"}, incarnation{1}, changes);
+    remove("a", 0s);
+    upsert(server("a", 1));
+    CHECK(open() == 0);
+}
+
+TEST_CASE_FIXTURE(directory_fixture, "server that has said it leaves, starts anew, takes work") {
+    upsert(server("a", 1));
+    listed.mark_leaving(backend_id{"a"}, incarnation{1}, changes);
+    upsert(server("a", 2));
+    CHECK(open() == 1);
+    // An answer of the former process comes late.
+    listed.mark_leaving(backend_id{"a"}, incarnation{1}, changes);
+    CHECK(open() == 1);
+}
--- /dev/null
+++ b/test/gateway/backend_answers_test.cpp
@@ -0,0 +1,156 @@
+#include "test/support/gateway_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace cicadahatch;
+using test_support::engine_script;
+using test_support::eventually;
+using test_support::gateway_fixture;
+using plain_answer = engine_script::plain_answer;
+
+/// The stand-in's routes time out after this.
+constexpr auto soon = 2s;
+
+struct backend_answers_fixture : gateway_fixture {
+    /// Registers a second engine and waits until it is known.
+    void add(const std::string& id, const std::string& service, const std::string& stage) {
+        site.add_engine(id, service, stage);
+        REQUIRE(eventually([&] { return has_logged("\"" + id + "\""); }));
+    }
+    [[nodiscard]] duration time_of_stream(const std::string& target, std::string& answer) const {
+        const auto begun = std::chrono::steady_clock::now();
+        answer = call("POST", target, stream_head(), "prompt");
+        return std::chrono::steady_clock::now() - begun;
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(backend_answers_fixture,
+                  "plain server, says that it leaves, gets nothing more though its entry stays") {
+    add("shop-2", "shop", "");
+    engine_script leaving;
+    leaving.is_leaving = true;
+    site.set_script("shop-1", leaving);
+    for (int round = 0; round < 20 && runs("shop-1") == 0; ++round) {
+        CHECK(status_of(call("GET", "/plain/x")) == 200);
+    }
+    REQUIRE(runs("shop-1") == 1);
+    site.set_state("shop-1", "ready");
+    std::this_thread::sleep_for(600ms);
+    for (int round = 0; round < 20; ++round) {
+        CHECK(status_of(call("GET", "/plain/x")) == 200);
+    }
+    CHECK(runs("shop-1") == 1);
+}
+
+TEST_CASE_FIXTURE(backend_answers_fixture,
+                  "decode engine, says that it leaves, gets no more places or streams") {
+    add("x-2", "model", "decode");
+    engine_script leaving;
+    leaving.is_leaving = true;
+    site.set_script("x-1", leaving);
+    const auto places = [this] { return site.count("x-1", "/cicadahatch/hold-take"); };
+    const std::size_t before = places();
+    for (int round = 0; round < 20 && places() == before; ++round) {
+        CHECK(status_of(call("POST", "/stream/x", stream_head(), "prompt")) == 200);
+    }
+    REQUIRE(places() == before + 1);
+    for (int round = 0; round < 10; ++round) {
+        CHECK(status_of(call("POST", "/stream/x", stream_head(), "prompt")) == 200);
+    }
+    CHECK(places() == before + 1);
+    CHECK(has_logged("backend.leaving"));
+}
+
+TEST_CASE_FIXTURE(backend_answers_fixture,
+                  "plain server, turns away for seconds, is left alone and callers are told") {
+    engine_script full;
+    full.plain = plain_answer::not_run;
+    full.wants_nothing_for_s = 3;
+    site.set_script("shop-1", full);
+    CHECK(status_of(call("POST", "/book/x", {}, "b")) == 503);
+    const std::size_t before = runs("shop-1");
+    const std::string answer = call("POST", "/book/x", {}, "b");
+    CHECK(status_of(answer) == 503);
+    CHECK(runs("shop-1") == before);
+    const std::size_t field = answer.find("Retry-After: ");
+    REQUIRE(field != std::string::npos);
+    CHECK(std::stod(answer.substr(field + 13)) > 1.0);
+    site.set_script("shop-1", engine_script{});
+    CHECK(eventually([this] { return status_of(call("POST", "/book/x", {}, "b")) == 200; }));
+}
+
+TEST_CASE_FIXTURE(backend_answers_fixture,
+                  "decode engine, turns away for seconds, another one gets the streams at once") {
+    add("x-2", "model", "decode");
+    engine_script full;
+    full.has_room = false;
+    full.wants_nothing_for_s = 30;
+    site.set_script("x-1", full);
+    const auto places = [this] { return site.count("x-1", "/cicadahatch/hold-take"); };
+    const std::size_t before = places();
+    for (int round = 0; round < 20; ++round) {
+        CHECK(status_of(call("POST", "/stream/x", stream_head(), "prompt")) == 200);
+    }
+    CHECK(places() <= before + 1);
+}
+
+TEST_CASE_FIXTURE(backend_answers_fixture,
+                  "head or body without an end, caller gets a failure in time") {
+    for (const plain_answer endless : {plain_answer::endless_head, plain_answer::endless_body}) {
+        script("shop-1", endless);
+        const auto begun = std::chrono::steady_clock::now();
+        const int status = status_of(call("POST", "/book/x", {}, "b"));
+        CHECK((status == 502 || status == 504));
+        CHECK(std::chrono::steady_clock::now() - begun < soon);
+        script("shop-1", plain_answer::sound);
+        REQUIRE(eventually([this] { return status_of(call("GET", "/plain/warm")) == 200; }));
+    }
+}
+
+TEST_CASE_FIXTURE(backend_answers_fixture,
+                  "stream, event without an end, is given up before it fills the memory") {
+    engine_script endless;
+    endless.never_ends = true;
+    site.set_script("x-1", endless);
+    std::string answer;
+    CHECK(time_of_stream("/stream/x", answer) < soon);
+    CHECK_FALSE(answer.ends_with("0\r\n\r\n"));
+    CHECK(has_logged("event without an end"));
+}
+
+TEST_CASE_FIXTURE(backend_answers_fixture,
+                  "resumable stream, a byte now and then but no event, is given up") {
+    engine_script dripping;
+    dripping.drips = true;
+    site.set_script("x-1", dripping);
+    std::string answer;
+    CHECK(time_of_stream("/resume/x", answer) < soon);
+    CHECK(eventually([this] { return site.cancelled_runs() > 0; }));
+}
+
+TEST_CASE_FIXTURE(backend_answers_fixture, "resumable stream, slow but whole events, is not cut") {
+    engine_script slow;
+    slow.events = 5;
+    slow.event_gap = 400ms;
+    site.set_script("x-1", slow);
+    const std::string answer = call("POST", "/resume/x", stream_head(), "prompt");
+    CHECK(answer.ends_with("0\r\n\r\n"));
+    CHECK(site.count("x-1", "/resume/x") == 1);
+}
+
+TEST_CASE_FIXTURE(backend_answers_fixture,
+                  "second copy of an answer, late on a connection in use, reaches no caller") {
+    engine_script twice;
+    twice.answers_places_twice = true;
+    site.set_script("x-1", twice);
+    for (int round = 0; round < 5; ++round) {
+        const std::string answer = call("POST", "/stream/x", stream_head(), "prompt");
+        CHECK(answer.find("hold") == std::string::npos);
+        CHECK((status_of(answer) != 200 || answer.find("id: 3\n") != std::string::npos));
+    }
+}
--- a/test/gateway/gateway_test.cpp
+++ b/test/gateway/gateway_test.cpp
@@ -1,158 +1,17 @@
-#include "cicadahatch/core"
-#include "platform/binding.hpp"
-#include "test/support/platform_site.hpp"
-#include "test/support/raw_caller.hpp"
+#include "test/support/gateway_fixture.hpp"
 
-#include <arpa/inet.h>
-#include <atomic>
 #include <doctest/doctest.h>
-#include <functional>
-#include <mutex>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <thread>
-#include <unistd.h>
 
 namespace {
 
 using namespace std::chrono_literals;
 using namespace cicadahatch;
 using test_support::engine_script;
+using test_support::eventually;
+using test_support::free_place;
+using test_support::gateway_fixture;
 using plain_answer = engine_script::plain_answer;
 
-std::string free_place() {
-    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    // NOLINTBEGIN(cppcoreguidelines-pro-type-reinterpret-cast): the socket interface asks for it
-    REQUIRE(bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) == 0);
-    REQUIRE(getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size) == 0);
-    // NOLINTEND(cppcoreguidelines-pro-type-reinterpret-cast)
-    close(descriptor);
-    return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-}
-
-bool eventually(const std::function<bool()>& holds) {
-    const auto until = std::chrono::steady_clock::now() + 5s;
-    while (!holds()) {
-        if (std::chrono::steady_clock::now() > until) {
-            return false;
-        }
-        std::this_thread::sleep_for(5ms);
-    }
-    return true;
-}
-
-/// A gateway in this process before a stand-in of the platform.
-struct gateway_fixture {
-    test_support::platform_site site;
-    system_clock time;
-    boot_clock lease_time;
-    settings::gateway_settings configured;
-    std::unique_ptr<gateway::gateway_daemon> daemon;
-    std::thread serving;
-    std::atomic<bool> is_whole{false};
-    std::mutex log_mutex;
-    std::string log;
-
-    gateway_fixture() : gateway_fixture(settings::gateway_settings{}) {}
-    explicit gateway_fixture(const settings::gateway_settings& basis) : configured(basis) {
-        site.put("op/config", test_support::sample_platform_configuration(1));
-        site.add_engine("shop-1", "shop", "");
-        site.add_engine("p-1", "model", "prefill");
-        site.add_engine("x-1", "model", "decode");
-        start();
-    }
-    gateway_fixture(const gateway_fixture&) = delete;
-    gateway_fixture& operator=(const gateway_fixture&) = delete;
-    gateway_fixture(gateway_fixture&&) = delete;
-    gateway_fixture& operator=(gateway_fixture&&) = delete;
-    ~gateway_fixture() {
-        daemon->halt();
-        serving.join();
-    }
-
-    void start() {
-        configured.name = daemon_id{"d1"};
-        configured.domain = domain_id{"a"};
-        configured.callers = free_place();
-        configured.readiness = free_place();
-        configured.peers = free_place();
-        configured.store.address = http::to_string(site.store());
-        configured.bounds.shutdown = 8s;
-        configured.bounds.drain = 500ms;
-        auto built = gateway::gateway_builder{}
-                         .settings(configured)
-                         .time(time)
-                         .lease_time(lease_time)
-                         .platform(platform::binding())
-                         .log_output([this](std::string_view line) { return note(line); })
-                         .build();
-        REQUIRE(built);
-        daemon = std::move(*built);
-        serving = std::thread([this] { is_whole = daemon->run(); });
-        REQUIRE(eventually([this] { return is_ready() && has_logged("home.reached"); }));
-        REQUIRE(eventually([this] { return status_of(call("GET", "/plain/warm")) == 200; }));
-        REQUIRE(eventually([this] {
-            return call("POST", "/stream/warm", stream_head()).find("id: 3") != std::string::npos;
-        }));
-    }
-    bool note(std::string_view line) {
-        const std::lock_guard lock{log_mutex};
-        log.append(line);
-        return true;
-    }
-    [[nodiscard]] bool has_logged(const std::string& text) {
-        const std::lock_guard lock{log_mutex};
-        return log.find(text) != std::string::npos;
-    }
-    [[nodiscard]] bool is_ready() const {
-        const test_support::raw_caller asks{http::parse_endpoint(configured.readiness).value()};
-        asks.send("GET /cicadahatch/readiness HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n");
-        return asks.receive_all().starts_with("HTTP/1.1 200");
-    }
-    [[nodiscard]] http::endpoint callers() const {
-        return http::parse_endpoint(configured.callers).value();
-    }
-    static std::string stream_head() {
-        return "X-Cicadahatch-Token-Usage: 100,80\r\nX-Cicadahatch-Prompt-Prefix: a:100\r\n";
-    }
-    static std::string request(const std::string& method, const std::string& target,
-                               const std::string& more = {}, const std::string& body = {}) {
-        static std::atomic<int> next{0};
-        const std::string id = "q" + std::to_string(++next);
-        return method + " " + target +
-               " HTTP/1.1\r\nHost: t.example\r\nX-Cicadahatch-Attempt-Id: " + id +
-               "\r\nX-Cicadahatch-Deadline-Ms: 5000\r\n" + more +
-               (body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") +
-               "\r\n" + body;
-    }
-    /// Sends one request on a connection of its own and reads to its end.
-    [[nodiscard]] std::string call(const std::string& method, const std::string& target,
-                                   const std::string& more = {},
-                                   const std::string& body = {}) const {
-        return send_bytes(request(method, target, "Connection: close\r\n" + more, body));
-    }
-    [[nodiscard]] std::string send_bytes(const std::string& bytes) const {
-        const test_support::raw_caller caller{callers()};
-        caller.send(bytes);
-        return caller.receive_all();
-    }
-    static int status_of(const std::string& answer) {
-        return answer.size() < 12 ? 0 : std::stoi(answer.substr(9, 3));
-    }
-    void script(const std::string& engine, plain_answer answer) {
-        engine_script made;
-        made.plain = answer;
-        site.set_script(engine, made);
-    }
-    [[nodiscard]] std::size_t runs(const std::string& engine) const {
-        return site.count(engine, "/plain/x") + site.count(engine, "/book/x");
-    }
-};
-
 } // namespace
 
 TEST_CASE_FIXTURE(gateway_fixture, "plain request, sound server, answer comes back unchanged") {
--- a/test/platform/wire_test.cpp
+++ b/test/platform/wire_test.cpp
@@ -98,6 +98,19 @@
     CHECK(wire.read_answer(head).is_not_run);
 }
 
+TEST_CASE_FIXTURE(wire_fixture, "read_answer, server leaves or wants nothing for a time, is told") {
+    CHECK_FALSE(wire.read_answer(head).is_leaving);
+    CHECK_FALSE(wire.read_answer(head).retry_after);
+    head.set("Server-Leaving", "1");
+    head.set("Retry-After", "2.5");
+    CHECK(wire.read_answer(head).is_leaving);
+    CHECK(wire.read_answer(head).retry_after == 2500ms);
+    for (const char* unusable : {"-1", "0", "soon", ""}) {
+        head.set("Retry-After", unusable);
+        CHECK_FALSE(wire.read_answer(head).retry_after);
+    }
+}
+
 TEST_CASE_FIXTURE(wire_fixture, "read_hold and read_prefill, other bodies, are errors") {
     CHECK(wire.read_hold(R"({"hold":"h"})").value() == "h");
     CHECK(wire.read_hold(R"({"hold":17})").value() == "17");
--- a/test/rpc/batch_test.cpp
+++ b/test/rpc/batch_test.cpp
@@ -59,7 +59,12 @@
                 43ms,
                 9s,
                 {1, UINT64_MAX},
-                64},
+                64,
+                900,
+                77,
+                1600ms,
+                2,
+                {backend_id{"x"}}},
         granted{request, attempt, cell, 8, backend_id{"p"}, backend_id{"q"}, 4, 5, 7us, 8us},
         refused{request, attempt, cell, refusal_reason::not_home, 20ms, daemon_id{"h"}},
         prefill_finished{request, attempt, cell, 6, 9us},
@@ -78,7 +83,13 @@
         sync_request{some_member(), 15},
         sync_reply{16, true, {some_member()}, {}},
         fetch_configuration{revision{17}},
-        configuration_shard{revision{18}, "n", 1, 3, "v"}};
+        configuration_shard{revision{18}, "n", 1, 3, "v"},
+        engine_leaving{cell, backend_id{"x"}, incarnation{20}},
+        registry_look{revision{21},
+                      revision{23},
+                      {{"k", std::string("\x00\xff", 2), revision{22}, false},
+                       {"gone", "", revision{23}, true}},
+                      24ms}};
     return sent;
 }
 
--- a/test/support/platform_site.cpp
+++ b/test/support/platform_site.cpp
@@ -59,6 +59,9 @@
             {"lease", item.lease}};
 }
 
+/// From the request to the first event.
+constexpr std::chrono::milliseconds first_event_time{5};
+
 struct stand_in_engine {
     std::string id;
     std::string service;
@@ -67,6 +70,7 @@
     engine_script script;
     std::unique_ptr<tcp::acceptor> acceptor;
     std::uint64_t next_handle = 1;
+    std::string late_copy; ///< of an answer; comes where the next answer is due
 };
 
 } // namespace
@@ -289,6 +293,24 @@
         co_return !error;
     }
 
+    static std::string own_fields(const engine_script& script, bool is_refusal) {
+        const bool states_time = is_refusal && script.wants_nothing_for_s > 0;
+        const std::string leaving = script.is_leaving ? "Server-Leaving: 1\r\n" : "";
+        const std::string time =
+            states_time ? "Retry-After: " + std::to_string(script.wants_nothing_for_s) + "\r\n"
+                        : "";
+        return leaving + time;
+    }
+
+    /// Sends until the daemon closes.
+    static asio::awaitable<void> send_for_ever(tcp::socket& socket, std::string head) {
+        bool is_open = co_await send(socket, std::move(head));
+        const std::string more(4096, 'x');
+        while (is_open) {
+            is_open = co_await send(socket, more);
+        }
+    }
+
     static std::string answer_text(const std::string& id, unsigned status, const std::string& extra,
                                    const std::string& body) {
         return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + attempt_field + ": " + id +
@@ -305,15 +327,18 @@
     asio::awaitable<void> answer_plain(tcp::socket& socket, const any_request& asked,
                                        engine_script script) {
         const std::string id = text(asked[attempt_field]);
-        const std::string mark = std::string{signature_field} + ": s\r\n";
+        const std::string mark =
+            std::string{signature_field} + ": s\r\n" + own_fields(script, false);
         const std::string body = "whole answer";
         switch (script.plain) {
         case plain_answer::sound:
             co_await send(socket, answer_text(id, 200, mark, body));
             co_return;
         case plain_answer::not_run:
-            co_await send(socket,
-                          answer_text(id, 503, "X-Cicadahatch-Not-Executed: 1\r\n", "full"));
+            co_await send(
+                socket,
+                answer_text(id, 503, "X-Cicadahatch-Not-Executed: 1\r\n" + own_fields(script, true),
+                            "full"));
             co_return;
         case plain_answer::plain_503:
             co_await send(socket, answer_text(id, 503, mark, "failed"));
@@ -339,6 +364,13 @@
             co_await send(socket, "\x01\x02 no answer\r\n\r\n");
             reset(socket);
             co_return;
+        case plain_answer::endless_head:
+            co_await send_for_ever(socket, "HTTP/1.1 200 OK\r\nX-More: ");
+            co_return;
+        case plain_answer::endless_body:
+            co_await send_for_ever(socket, "HTTP/1.1 200 OK\r\n" + mark + attempt_field + ": " +
+                                               id + "\r\n\r\n");
+            co_return;
         case plain_answer::hang:
             co_await until_closed(socket);
             co_return;
@@ -362,13 +394,27 @@
         const std::string after = text(asked["Last-Event-Id"]);
         const unsigned first = after.empty() ? 0 : static_cast<unsigned>(std::stoul(after)) + 1;
         co_await send(socket, "HTTP/1.1 200 OK\r\n" + std::string{attempt_field} + ": " + id +
-                                  "\r\n" + signature_field + ": s-" + engine.id +
-                                  "\r\nContent-Type: text/event-stream\r\n"
+                                  "\r\n" + signature_field + ": s-" + engine.id + "\r\n" +
+                                  own_fields(script, false) +
+                                  "Content-Type: text/event-stream\r\n"
                                   "Transfer-Encoding: chunked\r\n\r\n");
         asio::steady_timer pause{loop};
         net_error error;
+        if (script.never_ends) {
+            co_await send_for_ever(socket, "fffffff\r\ndata: ");
+            co_return false;
+        }
+        while (script.drips) {
+            pause.expires_after(50ms);
+            co_await pause.async_wait(yielding(error));
+            if (!co_await send(socket, "1\r\nd\r\n")) {
+                const std::lock_guard lock{mutex};
+                ++cancelled;
+                co_return false;
+            }
+        }
         for (unsigned event = first; event < script.events; ++event) {
-            pause.expires_after(script.event_gap);
+            pause.expires_after(event == first ? first_event_time : script.event_gap);
             co_await pause.async_wait(yielding(error));
             const std::string whole =
                 "id: " + std::to_string(event) + "\ndata: " + std::to_string(event) + "\n\n";
@@ -402,7 +448,13 @@
         const std::string id = text(asked[attempt_field]);
         if (target == "/cicadahatch/hold-take") {
             const std::string body = script.has_room ? R"({"hold":"h1"})" : "{}";
-            co_return co_await send(socket, answer_text(id, script.has_room ? 200 : 503, "", body));
+            const std::string answer = answer_text(id, script.has_room ? 200 : 503,
+                                                   own_fields(script, !script.has_room), body);
+            engine.late_copy = script.answers_places_twice ? answer : std::string{};
+            co_return co_await send(socket, answer);
+        }
+        if (!engine.late_copy.empty()) {
+            co_await send(socket, std::exchange(engine.late_copy, {}));
         }
         if (target == "/cicadahatch/report") {
             co_return co_await send(
--- a/test/support/platform_site.hpp
+++ b/test/support/platform_site.hpp
@@ -31,10 +31,17 @@
         cut_short,      ///< closes before the announced length
         foreign_answer, ///< an answer to another request first, then its own
         garbage,        ///< bytes that are no answer
+        endless_head,   ///< a head without an end
+        endless_body,   ///< a body without an end
         hang            ///< never answers
     };
     plain_answer plain = plain_answer::sound;
-    bool has_room = true; ///< else places are refused
+    bool is_leaving = false;           ///< says so in every answer, whatever its entry says
+    unsigned wants_nothing_for_s = 0;  ///< stated where it turns a request away; zero: not stated
+    bool answers_places_twice = false; ///< the copy comes late, where the next answer is due
+    bool drips = false;      ///< a byte now and then in place of the rest of the first event
+    bool never_ends = false; ///< an event without an end in place of the first
+    bool has_room = true;    ///< else places are refused
     bool fails_prefill = false;
     bool misdirects = false;  ///< 421: it has restarted, or its role is another one
     unsigned events = 4;      ///< of a stream
