Read the store for a failure domain, not for each daemon

Cause: every daemon watched the whole store, looked again after 400 ms while something changed and once a second else. Change: the daemons of a domain stand in rendezvous order; each hears the first two before it that can be reached, on connections of their own, and a daemon that is heard by others reads the store as before and passes on each look with the revisions that it spans. A look without changes says that nothing has changed; silence of 0.6 of the shorter of the bounds on draining and configuration, by a clock that counts suspended time, has a daemon read for itself. What is heard is only ever newer. An outage that only the reader has seen is told, so that entries that lapse in it are kept as long everywhere.

--- a/src/discovery/follower.cpp
+++ b/src/discovery/follower.cpp
@@ -3,27 +3,42 @@
 #include "src/store/error.hpp"
 
 #include <algorithm>
+#include <string_view>
 #include <thread>
 
 namespace cicadahatch::discovery {
 
 namespace {
 
-/// Between the place and the failure domain in a daemon's entry.
+/// Between place, failure domain and place of the registry in a daemon's entry.
 constexpr char separator = ' ';
 
 std::string to_value(const registered_daemon& daemon) {
-    return http::to_string(daemon.place) + separator + daemon.domain.str();
+    std::string value = http::to_string(daemon.place) + separator + daemon.domain.str();
+    if (daemon.registry) {
+        value += separator + http::to_string(*daemon.registry);
+    }
+    return value;
 }
 
-std::optional<registered_daemon> read_daemon(const daemon_id& id, const std::string& value) {
+/// \returns the part of the value in front of the first separator, which is taken from the value
+std::string_view take_part(std::string_view& value) {
     const std::size_t mark = std::min(value.find(separator), value.size());
-    const auto place = http::parse_endpoint(value.substr(0, mark));
+    const std::string_view part = value.substr(0, mark);
+    value.remove_prefix(std::min(mark + 1, value.size()));
+    return part;
+}
+
+std::optional<registered_daemon> read_daemon(const daemon_id& id, std::string_view value) {
+    const auto place = http::parse_endpoint(std::string{take_part(value)});
     if (!place) {
         return std::nullopt;
     }
-    const std::size_t rest = std::min(mark + 1, value.size());
-    return registered_daemon{id, *place, domain_id{value.substr(rest)}};
+    registered_daemon read{id, *place, domain_id{std::string{take_part(value)}}, {}};
+    if (const auto registry = http::parse_endpoint(std::string{take_part(value)})) {
+        read.registry = *registry;
+    }
+    return read;
 }
 
 bool has_content(const registry_update& update) {
@@ -103,13 +118,46 @@
 }
 
 result<registry_update> follower::poll() {
-    auto seen = watch_.poll(rules_.longest_wait);
+    const bool may_listen = heard_ != nullptr && !watch_.position().empty();
+    if (may_listen && heard_->is_reliable()) {
+        return listen();
+    }
+    const bool is_serving = heard_ != nullptr && heard_->is_serving();
+    return look(is_serving ? rules_.serving_wait : rules_.longest_wait);
+}
+
+result<registry_update> follower::listen() {
+    const auto heard = heard_->take(rules_.serving_wait);
+    if (!heard) {
+        return completed({});
+    }
+    if (heard->after > watch_.position()) {
+        return look(std::chrono::milliseconds{0});
+    }
+    note_reached(true);
+    settled_at_ = std::max(settled_at_, time_.now() + heard->settling);
+    std::vector<store::change> changes = heard->changes;
+    std::erase_if(changes, [this](const store::change& row) {
+        return row.changed.modified <= watch_.position();
+    });
+    watch_.skip_through(heard->through);
+    registry_update update = read_changes(changes);
+    update.is_heard = true;
+    return completed(std::move(update));
+}
+
+result<registry_update> follower::look(std::chrono::milliseconds wait) {
+    const revision before = watch_.position();
+    auto seen = watch_.poll(wait);
     note_reached(seen.has_value());
     if (!seen) {
         return tl::unexpected(seen.error());
     }
-    registry_update update =
-        seen->is_whole ? read_whole(seen->entries) : read_changes(seen->changes);
+    tell(before, *seen);
+    return completed(seen->is_whole ? read_whole(seen->entries) : read_changes(seen->changes));
+}
+
+registry_update follower::completed(registry_update update) const {
     for (const auto& [key, daemon] : daemons_) {
         update.daemons.push_back(daemon);
     }
@@ -117,6 +165,20 @@
     return update;
 }
 
+void follower::tell(revision before, const store::watch_update& seen) {
+    if (!on_look_) {
+        return;
+    }
+    store_look told;
+    told.through = watch_.position();
+    // Whoever has not seen what a listing skips reads the store itself.
+    told.after = seen.is_whole ? told.through : before;
+    told.changes = seen.changes;
+    const duration left = std::max(duration{0}, settled_at_ - time_.now());
+    told.settling = std::chrono::ceil<std::chrono::milliseconds>(left);
+    on_look_(std::move(told));
+}
+
 bool follower::note_daemon(const store::entry& seen, bool is_erased) {
     const daemon_id id{seen.key.substr(reader_.daemon_prefix.size())};
     const auto found = is_erased ? std::nullopt : read_daemon(id, seen.value);
@@ -193,8 +255,11 @@
             continue;
         }
         if (has_content(*update)) {
+            const bool is_heard = update->is_heard;
             on_update(std::move(*update));
-            std::this_thread::sleep_for(rules_.pause);
+            if (!is_heard) {
+                std::this_thread::sleep_for(rules_.pause);
+            }
         }
         const auto kept = keep_presence();
         if (!kept) {
--- a/src/discovery/follower.hpp
+++ b/src/discovery/follower.hpp
@@ -2,6 +2,7 @@
 
 #include "src/core/clock.hpp"
 #include "src/discovery/backend.hpp"
+#include "src/discovery/registry_feed.hpp"
 #include "src/routing/route.hpp"
 #include "src/store/key_value_store.hpp"
 #include "src/store/resuming_watch.hpp"
@@ -31,6 +32,8 @@
     daemon_id id;
     http::endpoint place; ///< where other daemons reach it
     domain_id domain{};   ///< its failure domain; empty if it has not told
+    /// Where it tells other daemons what it reads from the store, if it does.
+    std::optional<http::endpoint> registry{};
 
     friend bool operator==(const registered_daemon&, const registered_daemon&) = default;
 };
@@ -45,6 +48,7 @@
     bool has_daemons = false;            ///< the list of daemons is new
     std::vector<registered_daemon> daemons;
     time_point keep_until; ///< backend servers that vanish by this update count as there until then
+    bool is_heard = false; ///< another daemon has looked
 };
 
 /// \brief A change of the store's reachability.
@@ -56,6 +60,7 @@
 /// \brief How the store is followed.
 struct follow_rules {
     std::chrono::milliseconds longest_wait{1000}; ///< of one watch
+    std::chrono::milliseconds serving_wait{500};  ///< of one watch, while other daemons rely on it
     std::chrono::milliseconds pause{400};         ///< after a watch that saw a change
     std::chrono::milliseconds retry_pause{150};   ///< after a failure
     std::chrono::milliseconds settle{2400};       ///< after an outage, for entries to come back
@@ -69,15 +74,23 @@
 public:
     using update_handler = std::function<void(registry_update)>;
     using state_handler = std::function<void(const store_state&)>;
+    using look_handler = std::function<void(store_look)>;
 
     /// \param kept,time outlive this object
     follower(store::key_value_store& kept, entry_reader reader, follow_rules rules,
              const clock& time, registered_daemon self);
 
+    /// \brief Has this daemon rely on what others read from the store, as long as it hears them.
+    /// \param heard outlives this object
+    void rely_on(registry_feed& heard) { heard_ = &heard; }
+
+    /// \brief Has each look at the store that succeeds told, for other daemons.
+    void on_look(look_handler handler) { on_look_ = std::move(handler); }
+
     /// \brief Follows until stop() is called.
     void run(const update_handler& on_update, const state_handler& on_state);
 
-    /// \brief Looks once: lists or watches.
+    /// \brief Looks once: hears other daemons, lists or watches.
     /// \returns what is new, or why the store could not be asked
     [[nodiscard]] result<registry_update> poll();
 
@@ -92,6 +105,10 @@
     void stop() { is_stopping_ = true; }
 
 private:
+    [[nodiscard]] result<registry_update> look(std::chrono::milliseconds wait);
+    [[nodiscard]] result<registry_update> listen();
+    [[nodiscard]] registry_update completed(registry_update update) const;
+    void tell(revision before, const store::watch_update& seen);
     [[nodiscard]] registry_update read_whole(const std::vector<store::entry>& entries);
     [[nodiscard]] registry_update read_changes(const std::vector<store::change>& changes);
     void read_entry(const store::entry& seen, registry_update& update) const;
@@ -105,6 +122,8 @@
     const clock& time_;
     registered_daemon self_;
     store::resuming_watch watch_;
+    registry_feed* heard_ = nullptr; ///< null: this daemon always reads for itself
+    look_handler on_look_;
     std::map<std::string, registered_daemon> daemons_; ///< by key
     bool is_away_ = false;
     time_point settled_at_; ///< until then entries may come back after an outage
--- /dev/null
+++ b/src/discovery/registry_feed.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "src/core/clock.hpp"
+#include "src/core/identifiers.hpp"
+#include "src/store/key_value_store.hpp"
+
+#include <chrono>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+namespace cicadahatch::discovery {
+
+/// \brief One look of a daemon at the store.
+struct store_look {
+    revision after;   ///< the changes follow this revision without a gap
+    revision through; ///< and go up to this one
+    std::vector<store::change> changes;
+    std::chrono::milliseconds settling{0}; ///< entries that vanish may come back for so long
+};
+
+/// \brief Hands what other daemons have read from the store to the thread that follows it.
+///
+/// A look without changes tells that nothing has changed, so silence means that nobody looks: then
+/// this daemon has to. A daemon on which others rely always looks for itself.
+class registry_feed {
+public:
+    /// \param time goes on while the machine is suspended; outlives this object
+    /// \param silence without a look, after which the others are not relied on
+    registry_feed(const clock& time, std::chrono::milliseconds silence);
+
+    /// \brief Takes in a look of another daemon.
+    void offer(store_look heard);
+
+    void set_silence(std::chrono::milliseconds silence);
+
+    /// \brief Notes whether other daemons rely on this one.
+    void set_serving(bool is_serving);
+    [[nodiscard]] bool is_serving() const;
+
+    /// \returns whether another daemon looks in place of this one
+    [[nodiscard]] bool is_reliable() const;
+
+    /// \returns the oldest look that was not taken yet, if one comes within the time
+    [[nodiscard]] std::optional<store_look> take(std::chrono::milliseconds wait);
+
+private:
+    const clock& time_;
+    mutable std::mutex mutex_;
+    std::condition_variable offered_;
+    std::chrono::milliseconds silence_;
+    std::deque<store_look> untaken_;
+    std::optional<time_point> heard_at_;
+    bool is_serving_ = false;
+};
+
+} // namespace cicadahatch::discovery
--- a/src/gateway/internal/parts.cpp
+++ b/src/gateway/internal/parts.cpp
@@ -35,6 +35,14 @@
 /// Half of the pause in which a draining server must be left goes to looking, the rest to sending.
 constexpr int looks_within_drain = 5;
 
+/// A daemon that others rely on tells them what it reads this often in the shorter of the bounds
+/// on draining and configuration. With the pause after a change it is silent for less than half of
+/// that bound.
+constexpr int signs_within_bound = 4;
+
+/// Part of the bound after which a silent daemon is not relied on: the rest is for an own look.
+constexpr double silence_part = 0.6;
+
 /// Part of the memory that bodies of requests may take; the rest is for connections and code.
 constexpr std::size_t body_part = 4;
 
@@ -52,6 +60,15 @@
     return rules;
 }
 
+std::chrono::milliseconds shortest_bound(const settings::installation_bounds& bounds) {
+    return std::min(bounds.drain, bounds.configuration);
+}
+
+std::chrono::milliseconds registry_silence(const settings::installation_bounds& bounds) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(shortest_bound(bounds) *
+                                                                 silence_part);
+}
+
 std::uint64_t seed_of(const settings::gateway_settings& configured, const clock& time) {
     const auto since = time.wall_now().time_since_epoch().count();
     return stable_hash(configured.name.str()) ^ static_cast<std::uint64_t>(since);
@@ -81,6 +98,10 @@
       homes_(state_, gateway_policy()), places_(state_, configured_.name),
       roles_(state_, homes_, lease_time_, configured_.name,
              configured_.bounds.engines_check_fencing),
+      feed_(lease_time_, registry_silence(configured_.bounds)), publisher_(loop_, time_),
+      sources_(loop_, time_, log_, configured_.name, configured_.domain,
+               registry_silence(configured_.bounds),
+               [this](discovery::store_look heard) { feed_.offer(std::move(heard)); }),
       callers_(loop_, [this](forwarding::tcp::socket socket) { accept_caller(std::move(socket)); }),
       readiness_(loop_,
                  [this](forwarding::tcp::socket socket) {
@@ -119,11 +140,9 @@
                                             configured_.store.writes_per_second, 1);
     guarded_ = std::make_unique<store::guarded_store>(*store_, time_, budget, store_circuit,
                                                       seed_of(configured_, time_));
-    discovery::follow_rules rules;
-    rules.pause = configured_.bounds.drain / looks_within_drain;
-    follower_ = std::make_unique<discovery::follower>(
-        *guarded_, binding_.entries, rules, time_,
-        discovery::registered_daemon{configured_.name, *peers, configured_.domain});
+    if (const auto opened = open_follower(*peers); !opened) {
+        return opened;
+    }
     open_desk(*store_place);
     if (const auto opened = homes_.open(*peers); !opened) {
         return opened;
@@ -140,6 +159,32 @@
     return readiness_.open(*readiness);
 }
 
+result<void> gateway_daemon::parts::open_follower(const http::endpoint& peers) {
+    discovery::follow_rules rules;
+    rules.pause = configured_.bounds.drain / looks_within_drain;
+    rules.serving_wait = shortest_bound(configured_.bounds) / signs_within_bound;
+    discovery::registered_daemon self{configured_.name, peers, configured_.domain, {}};
+    if (!configured_.registry.empty()) {
+        const auto registry = http::parse_endpoint(configured_.registry);
+        if (!registry) {
+            return tl::unexpected(registry.error());
+        }
+        if (const auto opened = publisher_.open(*registry); !opened) {
+            return opened;
+        }
+        self.registry = *registry;
+    }
+    follower_ = std::make_unique<discovery::follower>(*guarded_, binding_.entries, rules, time_,
+                                                      std::move(self));
+    if (!configured_.registry.empty()) {
+        follower_->rely_on(feed_);
+        follower_->on_look([this](discovery::store_look look) {
+            asio::post(loop_, [this, look = std::move(look)] { publisher_.publish(look); });
+        });
+    }
+    return {};
+}
+
 void gateway_daemon::parts::open_desk(const http::endpoint& store_place) {
     orders::issuer_limits limits;
     limits.lease = std::chrono::ceil<std::chrono::seconds>(configured_.bounds.order_lease);
@@ -226,6 +271,12 @@
     set_gauge("cicadahatch_callers", "Connections of callers", open_callers_.size());
     set_gauge("cicadahatch_backends", "Backend servers known", state_.backends.rows().size());
     set_gauge("cicadahatch_daemons", "Daemons registered in the store", state_.daemons);
+    set_gauge("cicadahatch_registry_subscribers",
+              "Daemons that hear from this one what it reads from the store",
+              publisher_.subscribers());
+    set_gauge("cicadahatch_registry_sources",
+              "Daemons from which this one hears what they read from the store",
+              sources_.sources().size());
     set_gauge("cicadahatch_configuration_version", "Version in force",
               state_.table ? state_.table->version() : 0);
     set_gauge("cicadahatch_log_lines_dropped", "Log lines left out", log_.dropped());
@@ -280,6 +331,8 @@
     configured_.bounds = loaded.value.bounds;
     configured_.limits = loaded.value.limits;
     state_.rules = rules_of(configured_);
+    feed_.set_silence(registry_silence(configured_.bounds));
+    sources_.set_silence(registry_silence(configured_.bounds));
     open_callers_.set_most(most_callers(configured_.limits.descriptors));
     forwarding::set_daemons(state_, state_.daemons);
     log_.write(weight::notable, "settings.reloaded",
@@ -293,6 +346,7 @@
     state_.last_stream_at = stopping_since_ + balancer_delay;
     state_.stops_at = stopping_since_ + configured_.bounds.shutdown - shutdown_margin;
     follower_->stop();
+    publisher_.close();
     homes_.leave();
     note_readiness();
 }
@@ -306,6 +360,7 @@
     homes_.tend();
     places_.tend();
     roles_.tend();
+    tend_registry();
     open_callers_.drop_closed();
     if (!state_.is_stopping) {
         return;
@@ -321,6 +376,15 @@
     }
 }
 
+void gateway_daemon::parts::tend_registry() {
+    if (configured_.registry.empty() || state_.is_stopping) {
+        return;
+    }
+    publisher_.tend();
+    sources_.tend();
+    feed_.set_serving(publisher_.subscribers() > 0);
+}
+
 void gateway_daemon::parts::schedule_tick() {
     tick_timer_.expires_after(tick_time);
     tick_timer_.async_wait([this](const net_error& error) {
@@ -356,6 +420,7 @@
         for (const discovery::registered_daemon& daemon : update.daemons) {
             state_.daemon_names.push_back(daemon.id);
         }
+        sources_.set_daemons(update.daemons);
         places_.set_daemons(std::move(update.daemons));
     }
     if (update.configuration || update.is_whole || !update.present.empty() ||
--- a/src/gateway/internal/parts.hpp
+++ b/src/gateway/internal/parts.hpp
@@ -8,6 +8,8 @@
 #include "src/gateway/listener.hpp"
 #include "src/gateway/order_desk.hpp"
 #include "src/gateway/placement_client.hpp"
+#include "src/gateway/registry_listener.hpp"
+#include "src/gateway/registry_publisher.hpp"
 #include "src/gateway/role_orders.hpp"
 #include "src/store/guarded_store.hpp"
 
@@ -27,6 +29,7 @@
           const platform_binding& binding, logging::event_log::output out);
 
     [[nodiscard]] result<void> open();
+    [[nodiscard]] result<void> open_follower(const http::endpoint& peers);
     void open_desk(const http::endpoint& store_place);
     [[nodiscard]] bool run();
     void stop_following();
@@ -46,6 +49,7 @@
     void start_shutdown();
     void tick();
     void schedule_tick();
+    void tend_registry();
     void follow();
     void on_update(discovery::registry_update update);
     void on_configuration(routing::configuration accepted);
@@ -66,6 +70,9 @@
     home_server homes_;
     placement_client places_;
     role_orders roles_;
+    discovery::registry_feed feed_;
+    registry_publisher publisher_;
+    registry_listener sources_;
     listener callers_;
     listener readiness_;
     listener metrics_;
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -44,6 +44,7 @@
     std::string callers;   ///< "host:port" where callers connect
     std::string readiness; ///< "host:port" where the balancer asks
     std::string peers;     ///< "host:port" where other daemons connect
+    std::string registry;  ///< "host:port" where this daemon tells others what it reads
     std::string metrics;   ///< "host:port" of the metrics page
     store_access store;
     process_limits limits;
--- a/src/settings/internal/gateway_fields.cpp
+++ b/src/settings/internal/gateway_fields.cpp
@@ -72,6 +72,9 @@
                    "where the balancer asks whether the daemon takes callers", presence::required),
         make_field("peers", &gateway_settings::peers, place(true),
                    "where other daemons connect, as they reach it", presence::required),
+        make_field("registry", &gateway_settings::registry, or_empty(place(true)),
+                   "where other daemons of the failure domain hear what this one reads from the "
+                   "store; empty: every daemon reads for itself"),
         make_field("metrics", &gateway_settings::metrics, or_empty(place(false)),
                    "where the metrics page is; empty: none"),
         make_field("store", &gateway_settings::store, object(store_fields()),
--- a/src/store/resuming_watch.cpp
+++ b/src/store/resuming_watch.cpp
@@ -2,6 +2,8 @@
 
 #include "src/store/error.hpp"
 
+#include <algorithm>
+
 namespace cicadahatch::store {
 
 result<watch_update> resuming_watch::list() {
@@ -13,6 +15,14 @@
     return watch_update{true, std::move(listed->entries), {}};
 }
 
+revision resuming_watch::position() const {
+    return next_.empty() ? revision{} : revision{next_.value() - 1};
+}
+
+void resuming_watch::skip_through(revision seen) {
+    next_ = std::max(next_, revision{seen.value() + 1});
+}
+
 result<watch_update> resuming_watch::poll(std::chrono::milliseconds wait) {
     if (next_.empty()) {
         return list();
--- a/src/store/resuming_watch.hpp
+++ b/src/store/resuming_watch.hpp
@@ -31,6 +31,12 @@
     /// \brief Keeps no watch open until the next poll, which goes on from the same place.
     void rest() { kept_.end_watch(prefix_); }
 
+    /// \returns the revision up to which all changes have been seen; empty before the first listing
+    [[nodiscard]] revision position() const;
+
+    /// \brief Notes that all changes up to a revision have been seen elsewhere.
+    void skip_through(revision seen);
+
     /// \brief Has the next poll list again.
     void restart() { next_ = {}; }
 
--- /dev/null
+++ b/test/discovery/registry_feed_test.cpp
@@ -0,0 +1,185 @@
+#include "src/core/manual_clock.hpp"
+#include "src/discovery/follower.hpp"
+#include "test/support/memory_store.hpp"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace cicadahatch;
+using namespace cicadahatch::discovery;
+using test_support::store_fault;
+
+constexpr std::chrono::milliseconds silence = 1200ms;
+
+std::optional<routing::configuration> read_configuration(const store::entry& entry) {
+    routing::configuration read;
+    read.version = std::stoull(entry.value);
+    return read;
+}
+
+std::optional<backend> read_backend(const store::entry& entry) {
+    backend read;
+    read.id = backend_id{entry.key.substr(2)};
+    return read;
+}
+
+follow_rules make_rules() {
+    follow_rules made;
+    made.longest_wait = 0ms;
+    made.serving_wait = 0ms;
+    return made;
+}
+
+/// A daemon that follows the store.
+struct daemon_of_test {
+    registry_feed heard;
+    follower followed;
+    std::vector<store_look> looks;
+
+    daemon_of_test(const cicadahatch::clock& time, store::key_value_store& kept, const std::string& name)
+        : heard(time, silence),
+          followed(kept, {"config", "s/", "d/", read_configuration, read_backend}, make_rules(),
+                   time, {daemon_id{name}, {"10.0.0.1", 7000}, domain_id{"a"}, {}}) {
+        followed.rely_on(heard);
+        followed.on_look([this](store_look look) { looks.push_back(std::move(look)); });
+    }
+    [[nodiscard]] bool holds(const registry_update& update, const std::string& id) const {
+        return std::any_of(update.present.begin(), update.present.end(),
+                           [&](const backend& row) { return row.id == backend_id{id}; });
+    }
+};
+
+struct registry_feed_fixture {
+    manual_clock time;
+    test_support::memory_store kept{time};
+    daemon_of_test reader{time, kept, "d1"};
+    daemon_of_test listener{time, kept, "d2"};
+
+    registry_feed_fixture() {
+        time.advance(1h);
+        put("config", "1");
+        static_cast<void>(reader.followed.poll().value());
+        static_cast<void>(listener.followed.poll().value());
+        reader.looks.clear();
+        listener.looks.clear();
+    }
+    void put(const std::string& key, const std::string& value) {
+        const auto current = kept.get(key).value();
+        const auto at = current ? current->modified : revision{};
+        REQUIRE(kept.swap(key, at, value, {}).value().is_swapped);
+    }
+    void erase(const std::string& key) {
+        REQUIRE(kept.erase(key, kept.get(key).value()->modified).value().is_swapped);
+    }
+    /// Has the reader look and the listener hear of it.
+    registry_update pass_on() {
+        static_cast<void>(reader.followed.poll().value());
+        for (store_look& look : reader.looks) {
+            listener.heard.offer(std::move(look));
+        }
+        reader.looks.clear();
+        return listener.followed.poll().value();
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(registry_feed_fixture, "changes, heard of, are taken in without a store call") {
+    put("config", "2");
+    put("s/a", "x");
+    const std::size_t before = kept.calls();
+    const registry_update update = pass_on();
+    CHECK(kept.calls() - before == 1);
+    CHECK(update.is_heard);
+    REQUIRE(update.configuration);
+    CHECK(update.configuration->version == 2);
+    CHECK(listener.holds(update, "a"));
+    CHECK(listener.looks.empty());
+}
+
+TEST_CASE_FIXTURE(registry_feed_fixture, "look heard twice, second time brings nothing") {
+    put("s/a", "x");
+    static_cast<void>(reader.followed.poll().value());
+    const store_look look = reader.looks.back();
+    reader.looks.clear();
+    listener.heard.offer(look);
+    CHECK(listener.holds(listener.followed.poll().value(), "a"));
+    put("s/a", "y");
+    static_cast<void>(pass_on());
+    listener.heard.offer(look);
+    CHECK(listener.followed.poll().value().present.empty());
+}
+
+TEST_CASE_FIXTURE(registry_feed_fixture, "older version heard after a newer one, is not taken in") {
+    put("config", "2");
+    static_cast<void>(reader.followed.poll().value());
+    const store_look older = reader.looks.back();
+    reader.looks.clear();
+    put("config", "3");
+    REQUIRE(pass_on().configuration->version == 3);
+    listener.heard.offer(older);
+    CHECK_FALSE(listener.followed.poll().value().configuration);
+}
+
+TEST_CASE_FIXTURE(registry_feed_fixture, "look missed, gap is filled from the store") {
+    put("s/a", "x");
+    static_cast<void>(reader.followed.poll().value());
+    reader.looks.clear();
+    put("s/b", "x");
+    const registry_update update = pass_on();
+    CHECK(listener.holds(update, "a"));
+    CHECK(listener.holds(update, "b"));
+}
+
+TEST_CASE_FIXTURE(registry_feed_fixture, "entry ends and returns between looks, server stays") {
+    put("s/a", "x");
+    static_cast<void>(pass_on());
+    erase("s/a");
+    put("s/a", "x");
+    const registry_update update = pass_on();
+    CHECK(update.absent.empty());
+    CHECK(listener.holds(update, "a"));
+}
+
+TEST_CASE_FIXTURE(registry_feed_fixture, "nobody heard for the silence, daemon reads for itself") {
+    static_cast<void>(pass_on());
+    put("s/a", "x");
+    CHECK(listener.heard.is_reliable());
+    time.advance(silence + 1ms);
+    CHECK_FALSE(listener.heard.is_reliable());
+    CHECK(listener.holds(listener.followed.poll().value(), "a"));
+}
+
+TEST_CASE_FIXTURE(registry_feed_fixture, "others rely on the daemon, it reads for itself") {
+    static_cast<void>(pass_on());
+    listener.heard.set_serving(true);
+    put("s/a", "x");
+    CHECK(listener.holds(listener.followed.poll().value(), "a"));
+    CHECK_FALSE(listener.looks.empty());
+}
+
+TEST_CASE_FIXTURE(registry_feed_fixture, "store turns the daemon away, others are heard instead") {
+    kept.set_fault(store_fault::unavailable);
+    REQUIRE_FALSE(listener.followed.poll());
+    kept.set_fault(store_fault::none);
+    put("config", "7");
+    CHECK(pass_on().configuration->version == 7);
+}
+
+TEST_CASE_FIXTURE(registry_feed_fixture,
+                  "entry ends after an outage that only the reader has seen, "
+                  "is kept while it may come back") {
+    put("s/a", "x");
+    static_cast<void>(pass_on());
+    kept.set_fault(store_fault::unavailable);
+    REQUIRE_FALSE(reader.followed.poll());
+    kept.set_fault(store_fault::none);
+    erase("s/a");
+    const registry_update update = pass_on();
+    CHECK(update.absent == std::vector{backend_id{"a"}});
+    CHECK(update.keep_until > time.now() + 2s);
+    CHECK(update.keep_until <= time.now() + 2400ms);
+}
--- a/test/settings/gateway_settings_test.cpp
+++ b/test/settings/gateway_settings_test.cpp
@@ -24,6 +24,7 @@
         {"listen.front|json", "\"10.1.0.35:8144\""},
         {"listen.ready|json", "\"10.1.0.35:8140\""},
         {"internalPorts.0", "7660"},
+        {"internalPorts.1", "7675"},
         {"platform.address|json", "\"10.200.1.7:8142\""},
         {"platform.readsPerS|json", "2000"},
         {"platform.writesPerS|json", "400"},
@@ -64,6 +65,7 @@
     CHECK(read.value.callers == "10.1.0.35:8144");
     CHECK(read.value.readiness == "10.1.0.35:8140");
     CHECK(read.value.peers == "10.1.0.35:7660");
+    CHECK(read.value.registry == "10.1.0.35:7675");
     CHECK(read.value.store.address == "10.200.1.7:8142");
     CHECK(read.value.limits.memory_mb == 110);
     CHECK(read.value.bounds.drain == 2000ms);
