Tell refused callers to come back when there is room for them

Each caller was told twice the time in which the queue drains, 0.6 to 1.2 s, and came back into the same burst, behind all who could be on time: refused for good. Change: the home adds up what callers who can be on time bring in a second, and what it has promised to those refused before; Retry-After is the time in which the pools, beside that demand, do what waits and what was promised, within the bounds of the policy.

--- a/src/scheduling/cell_inputs.cpp
+++ b/src/scheduling/cell_inputs.cpp
@@ -8,6 +8,7 @@
 #include "src/scheduling/internal/prediction.hpp"
 #include "src/scheduling/internal/refuse.hpp"
 #include "src/scheduling/internal/reservation.hpp"
+#include "src/scheduling/internal/retry_after.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -185,6 +186,7 @@
     request.serial = state.next_serial++;
     estimate_output(state, policy, request);
     internal::predict_request(state, policy, request);
+    internal::note_demand(state, request);
     state.offered.prefill_seconds += request.prefill_seconds;
     state.offered.slot_seconds += request.slot_seconds;
     state.arrivals.push_back(request.id);
--- a/src/scheduling/cell_state.hpp
+++ b/src/scheduling/cell_state.hpp
@@ -99,6 +99,12 @@
     double slot_seconds = 0;    ///< of decode slots
 };
 
+/// \brief Work of refused callers who were told when to come back.
+struct promised_returns {
+    std::multimap<time_point, work_amount> due; ///< by the time told
+    work_amount sum;
+};
+
 /// \brief Everything that one cell's home knows. Plain tables; the systems run over them.
 struct cell_state {
     cell_id id;
@@ -118,6 +124,8 @@
     std::set<daemon_id> unregistered;     ///< daemons that have not answered the new home
     cell_capacity capacity;
     offered_work offered;
+    work_amount demand; ///< brought in a second by requests that can be on time, averaged
+    promised_returns promised;
     std::unordered_map<service_id, double> output_scale;  ///< observed over expected output
     std::unordered_map<service_id, length_model> lengths; ///< of finished streams
     time_point last_tick;
--- a/src/scheduling/internal/fair_queue.cpp
+++ b/src/scheduling/internal/fair_queue.cpp
@@ -9,22 +9,6 @@
 
 namespace {
 
-void add_work(work_amount& to, const waiting_request& request) {
-    to.prefill_seconds += request.prefill_seconds;
-    to.slot_seconds += request.slot_seconds;
-    ++to.requests;
-}
-
-void remove_work(work_amount& from, const waiting_request& request) {
-    --from.requests;
-    if (from.requests == 0) {
-        from = {};
-        return;
-    }
-    from.prefill_seconds = std::max(from.prefill_seconds - request.prefill_seconds, 0.0);
-    from.slot_seconds = std::max(from.slot_seconds - request.slot_seconds, 0.0);
-}
-
 bool is_skipped(const skipped_teams& skipped, const service_id& service, std::uint8_t level,
                 const team_id& team) {
     return std::any_of(skipped.begin(), skipped.end(), [&](const skipped_team& passed) {
@@ -120,9 +104,10 @@
         begin_backlog(queue, *service, level, team);
     }
     team.entries.push_back({request.id, request.serial});
-    add_work(team.ahead, request);
-    add_work(level.waiting, request);
-    add_work(queue.waiting, request);
+    const work_amount brought = work_of(request);
+    add_work(team.ahead, brought);
+    add_work(level.waiting, brought);
+    add_work(queue.waiting, brought);
     state.waiting.insert(std::move(request));
 }
 
@@ -132,13 +117,14 @@
     waiting_request taken = std::move(*found);
     taken.id = request;
     state.waiting.erase(request);
+    const work_amount brought = work_of(taken);
     rank_queue& queue = state.ranks[rank_index(taken.spec.rank)];
-    remove_work(queue.waiting, taken);
+    remove_work(queue.waiting, brought);
     service_queue* service = queue.services.find(taken.spec.service);
     level_queue& level = service->levels[taken.spec.level];
-    remove_work(level.waiting, taken);
+    remove_work(level.waiting, brought);
     team_queue& team = level.teams[taken.spec.team];
-    remove_work(team.ahead, taken);
+    remove_work(team.ahead, brought);
     if (team.ahead.requests == 0) {
         end_backlog(level, team);
     }
@@ -204,14 +190,22 @@
                        });
 }
 
+namespace {
+
+void forget_idle_teams(level_queue& level) {
+    std::erase_if(level.teams, [&level](const auto& named) {
+        const team_queue& team = named.second;
+        return team.ahead.requests == 0 && team.virtual_time <= level.team_virtual_time;
+    });
+}
+
+} // namespace
+
 void forget_idle_teams(cell_state& state) {
     for (rank_queue& queue : state.ranks) {
         for (service_queue& service : queue.services.rows()) {
             for (auto& [number, level] : service.levels) {
-                std::erase_if(level.teams, [&](const auto& named) {
-                    const team_queue& team = named.second;
-                    return team.ahead.requests == 0 && team.virtual_time <= level.team_virtual_time;
-                });
+                forget_idle_teams(level);
             }
         }
     }
--- a/src/scheduling/internal/prediction.cpp
+++ b/src/scheduling/internal/prediction.cpp
@@ -18,6 +18,26 @@
 
 } // namespace
 
+work_amount work_of(const waiting_request& request) noexcept {
+    return {request.prefill_seconds, request.slot_seconds, 1};
+}
+
+void add_work(work_amount& to, const work_amount& added) noexcept {
+    to.prefill_seconds += added.prefill_seconds;
+    to.slot_seconds += added.slot_seconds;
+    to.requests += added.requests;
+}
+
+void remove_work(work_amount& from, const work_amount& removed) noexcept {
+    from.requests -= std::min(from.requests, removed.requests);
+    if (from.requests == 0) {
+        from = {};
+        return;
+    }
+    from.prefill_seconds = std::max(from.prefill_seconds - removed.prefill_seconds, 0.0);
+    from.slot_seconds = std::max(from.slot_seconds - removed.slot_seconds, 0.0);
+}
+
 double prefill_seconds(const engine& on, std::uint32_t tokens) noexcept {
     if (on.spec.prefill_tokens_per_second <= 0) {
         return 0;
@@ -133,10 +153,7 @@
         return before;
     }
     for (auto row = service->levels.upper_bound(spec.level); row != service->levels.end(); ++row) {
-        const work_amount& behind = row->second.waiting;
-        before.prefill_seconds = std::max(before.prefill_seconds - behind.prefill_seconds, 0.0);
-        before.slot_seconds = std::max(before.slot_seconds - behind.slot_seconds, 0.0);
-        before.requests -= std::min(before.requests, behind.requests);
+        remove_work(before, row->second.waiting);
     }
     return before;
 }
--- a/src/scheduling/internal/prediction.hpp
+++ b/src/scheduling/internal/prediction.hpp
@@ -13,6 +13,14 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(value));
 }
 
+/// \returns what a waiting request adds to a queue
+[[nodiscard]] work_amount work_of(const waiting_request& request) noexcept;
+
+void add_work(work_amount& to, const work_amount& added) noexcept;
+
+/// \brief Takes work out of a sum; without requests the sum is exactly zero.
+void remove_work(work_amount& from, const work_amount& removed) noexcept;
+
 /// \returns the predicted time of one prefill of so many uncached tokens on an idle engine
 [[nodiscard]] double prefill_seconds(const engine& on, std::uint32_t tokens) noexcept;
 
--- a/src/scheduling/internal/refuse.cpp
+++ b/src/scheduling/internal/refuse.cpp
@@ -2,6 +2,7 @@
 
 #include "src/scheduling/internal/fair_queue.hpp"
 #include "src/scheduling/internal/prediction.hpp"
+#include "src/scheduling/internal/retry_after.hpp"
 
 namespace cicadahatch::scheduling::internal {
 
@@ -24,6 +25,9 @@
 
 void refuse(cell_state& state, const request_id& request, errc reason, duration retry_after) {
     const waiting_request refused = dequeue(state, request);
+    if (retry_after > duration::zero()) {
+        note_promise(state, refused, state.last_tick + retry_after);
+    }
     state.pending_refusals.push_back(
         {refused.id, refused.spec.owner, reason, retry_after, inputs_of(state, refused)});
 }
--- a/src/scheduling/systems/admit.cpp
+++ b/src/scheduling/systems/admit.cpp
@@ -54,7 +54,7 @@
             continue;
         }
         if (const auto fault = fault_of(state, policy, *request, now)) {
-            const duration later = internal::retry_after(state, policy, request->spec);
+            const duration later = internal::retry_after(state, policy);
             internal::refuse(state, *newest, *fault, later);
         }
     }
--- a/src/scheduling/systems/expire.cpp
+++ b/src/scheduling/systems/expire.cpp
@@ -19,8 +19,7 @@
         }
     }
     for (const auto& [request, reason] : late) {
-        const request_spec& spec = state.waiting.find(request)->spec;
-        internal::refuse(state, request, reason, internal::retry_after(state, policy, spec));
+        internal::refuse(state, request, reason, internal::retry_after(state, policy));
     }
 }
 
--- a/src/scheduling/systems/grant.cpp
+++ b/src/scheduling/systems/grant.cpp
@@ -147,7 +147,7 @@
         return attempt::blocked;
     }
     if (found.first_token > request->spec.arrived + internal::usable_target(*request, policy)) {
-        const duration later = internal::retry_after(state, policy, request->spec);
+        const duration later = internal::retry_after(state, policy);
         internal::refuse(state, request_id{request->id}, errc::target_unreachable, later);
         return attempt::passed_over;
     }
--- a/src/scheduling/systems/predict.cpp
+++ b/src/scheduling/systems/predict.cpp
@@ -2,6 +2,7 @@
 
 #include "src/scheduling/internal/engine_health.hpp"
 #include "src/scheduling/internal/prediction.hpp"
+#include "src/scheduling/internal/retry_after.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -157,6 +158,7 @@
     internal::review_health(state, policy, now);
     state.capacity = measure_capacity(state, policy);
     const double elapsed = internal::to_seconds(now - state.last_tick);
+    internal::age_demand(state, elapsed, now);
     for (rank_queue& queue : state.ranks) {
         update_rank(queue, state, policy, elapsed);
     }
--- a/test/discovery/registry_feed_test.cpp
+++ b/test/discovery/registry_feed_test.cpp
@@ -39,7 +39,8 @@
     follower followed;
     std::vector<store_look> looks;
 
-    daemon_of_test(const cicadahatch::clock& time, store::key_value_store& kept, const std::string& name)
+    daemon_of_test(const cicadahatch::clock& time, store::key_value_store& kept,
+                   const std::string& name)
         : heard(time, silence),
           followed(kept, {"config", "s/", "d/", read_configuration, read_backend}, make_rules(),
                    time, {daemon_id{name}, {"10.0.0.1", 7000}, domain_id{"a"}, {}}) {
