Keep an older process's mark from replacing a newer one's; age what is heard of an outage

Cause: found while reading the change. A late answer of a server's former process replaced the mark that its present one leaves; a look that waited told of an outage for as long as when it was sent, so that an entry that is gone for good was kept longer than allowed; looks were kept for a daemon that reads for itself. Change: a mark is replaced by that of a later start only; the time that entries may come back counts from the coming of the look; a daemon on which others rely keeps nothing. Tests: two cases of discovery.directory and discovery.registry_feed, which fail without it.

--- a/src/discovery/directory.cpp
+++ b/src/discovery/directory.cpp
@@ -28,10 +28,12 @@
 
 bool directory::mark_leaving(const backend_id& id, incarnation started,
                              std::vector<directory_change>& changes) {
-    if (has_said_leaving(id, started)) {
+    const auto [marked, is_new] = leaving_.try_emplace(id, started);
+    if (!is_new && marked->second >= started) {
         return false;
     }
-    if (leaving_.insert_or_assign(id, started).second) {
+    marked->second = started;
+    if (is_new) {
         leaving_order_.push_back(id);
     }
     if (leaving_order_.size() > max_leaving) {
--- a/src/discovery/registry_feed.cpp
+++ b/src/discovery/registry_feed.cpp
@@ -1,5 +1,6 @@
 #include "src/discovery/registry_feed.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace cicadahatch::discovery {
@@ -16,8 +17,11 @@
 
 void registry_feed::offer(store_look heard) {
     const std::lock_guard lock{mutex_};
+    if (is_serving_) {
+        return;
+    }
     heard_at_ = time_.now();
-    untaken_.push_back(std::move(heard));
+    untaken_.emplace_back(*heard_at_, std::move(heard));
     if (untaken_.size() > max_untaken) {
         untaken_.pop_front();
     }
@@ -32,6 +36,9 @@
 void registry_feed::set_serving(bool is_serving) {
     const std::lock_guard lock{mutex_};
     is_serving_ = is_serving;
+    if (is_serving_) {
+        untaken_.clear();
+    }
 }
 
 bool registry_feed::is_serving() const {
@@ -50,9 +57,11 @@
     if (untaken_.empty()) {
         return std::nullopt;
     }
-    store_look taken = std::move(untaken_.front());
+    auto [came_at, taken] = std::move(untaken_.front());
     untaken_.pop_front();
-    return taken;
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(time_.now() - came_at);
+    taken.settling = std::max(std::chrono::milliseconds{0}, taken.settling - age);
+    return std::move(taken);
 }
 
 } // namespace cicadahatch::discovery
--- a/src/discovery/registry_feed.hpp
+++ b/src/discovery/registry_feed.hpp
@@ -9,6 +9,7 @@
 #include <deque>
 #include <mutex>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace cicadahatch::discovery {
@@ -31,7 +32,7 @@
     /// \param silence without a look, after which the others are not relied on
     registry_feed(const clock& time, std::chrono::milliseconds silence);
 
-    /// \brief Takes in a look of another daemon.
+    /// \brief Takes in a look of another daemon, unless this one looks for itself.
     void offer(store_look heard);
 
     void set_silence(std::chrono::milliseconds silence);
@@ -51,7 +52,7 @@
     mutable std::mutex mutex_;
     std::condition_variable offered_;
     std::chrono::milliseconds silence_;
-    std::deque<store_look> untaken_;
+    std::deque<std::pair<time_point, store_look>> untaken_; ///< with the times of their coming
     std::optional<time_point> heard_at_;
     bool is_serving_ = false;
 };
--- a/src/gateway/registry_listener.cpp
+++ b/src/gateway/registry_listener.cpp
@@ -60,6 +60,15 @@
 }
 
 void registry_listener::connect(source& to) {
+    const http::endpoint& place = *to.daemon.registry;
+    forwarding::net_error error;
+    const auto address = forwarding::asio::ip::make_address(place.host, error);
+    if (error) {
+        to.avoid_until = time_point::max();
+        log_.write(logging::weight::notable, "registry.source.lost",
+                   {{"daemon", to.daemon.id.str()}, {"reason", error.message()}});
+        return;
+    }
     const auto channel = std::make_shared<peer_channel>(loop_, time_);
     to.channel = channel;
     to.opened_at = time_.now();
@@ -67,10 +76,7 @@
     channel->on_messages([this](const daemon_id& from, const std::vector<rpc::message>& received) {
         on_messages(from, received);
     });
-    const http::endpoint& place = *to.daemon.registry;
-    const forwarding::tcp::endpoint address{forwarding::asio::ip::make_address(place.host),
-                                            place.port};
-    channel->open(self_, to.daemon.id, address, [] {});
+    channel->open(self_, to.daemon.id, forwarding::tcp::endpoint{address, place.port}, [] {});
 }
 
 void registry_listener::drop(source& from, const char* reason) {
--- a/test/discovery/directory_test.cpp
+++ b/test/discovery/directory_test.cpp
@@ -110,3 +110,12 @@
     listed.mark_leaving(backend_id{"a"}, incarnation{1}, changes);
     CHECK(open() == 1);
 }
+
+TEST_CASE_FIXTURE(directory_fixture, "server that has said it leaves, late answer of its former "
+                                     "process, takes no work") {
+    upsert(server("a", 2));
+    listed.mark_leaving(backend_id{"a"}, incarnation{2}, changes);
+    CHECK_FALSE(listed.mark_leaving(backend_id{"a"}, incarnation{1}, changes));
+    upsert(server("a", 2));
+    CHECK(open() == 0);
+}
--- a/test/discovery/registry_feed_test.cpp
+++ b/test/discovery/registry_feed_test.cpp
@@ -184,3 +184,29 @@
     CHECK(update.keep_until > time.now() + 2s);
     CHECK(update.keep_until <= time.now() + 2400ms);
 }
+
+TEST_CASE_FIXTURE(registry_feed_fixture,
+                  "look of an outage, taken late, entries are kept no longer") {
+    put("s/a", "x");
+    static_cast<void>(pass_on());
+    kept.set_fault(store_fault::unavailable);
+    REQUIRE_FALSE(reader.followed.poll());
+    kept.set_fault(store_fault::none);
+    erase("s/a");
+    static_cast<void>(reader.followed.poll().value());
+    listener.heard.offer(reader.looks.back());
+    const time_point heard_at = time.now();
+    time.advance(1s);
+    const registry_update update = listener.followed.poll().value();
+    CHECK(update.is_heard);
+    CHECK(update.keep_until <= heard_at + 2400ms);
+}
+
+TEST_CASE_FIXTURE(registry_feed_fixture, "others rely on the daemon, what it hears is not kept") {
+    static_cast<void>(reader.followed.poll().value());
+    listener.heard.offer(reader.looks.back());
+    listener.heard.set_serving(true);
+    listener.heard.offer(reader.looks.back());
+    listener.heard.set_serving(false);
+    CHECK_FALSE(listener.heard.take(0ms));
+}
