--- a/test/gateway/gateway_test.cpp
+++ b/test/gateway/gateway_test.cpp
@@ -8,7 +8,6 @@
 using namespace cicadahatch;
 using test_support::engine_script;
 using test_support::eventually;
-using test_support::free_place;
 using test_support::gateway_fixture;
 using plain_answer = engine_script::plain_answer;
 
--- a/test/gateway/registry_listener_test.cpp
+++ b/test/gateway/registry_listener_test.cpp
@@ -83,7 +83,7 @@
         made.through = revision{++revisions};
         return made;
     }
-    [[nodiscard]] bool hears(std::vector<daemon_id> expected) const {
+    [[nodiscard]] bool hears(const std::vector<daemon_id>& expected) const {
         return listener->sources() == expected;
     }
 };
