Name the source of a look apart from the daemon that logs it; tell explain of sources

Cause: found in reading the change as a newcomer: the field "daemon" of registry.source.heard and registry.source.lost replaced the name of the daemon that writes the line. Change: the field is "source"; explain counts these lines among what a daemon came to believe. A test of explain removes a record by its event in place of its position, which an added line had moved. Tests: gateway.registry_listener, tool.explain.

--- a/programs/cicadahatch/story.cpp
+++ b/programs/cicadahatch/story.cpp
@@ -12,8 +12,9 @@
 using std::chrono::milliseconds;
 
 /// Events that change what a daemon believes, by the beginning of their names.
-constexpr std::array<std::string_view, 8> belief_prefixes{
-    "backend.", "home.", "store.", "configuration.", "daemon.", "daemons.", "order.", "settings."};
+constexpr std::array<std::string_view, 9> belief_prefixes{
+    "backend.", "home.",    "store.", "registry.", "configuration.",
+    "daemon.",  "daemons.", "order.", "settings."};
 
 bool is_belief(const log_record& record) {
     return std::any_of(belief_prefixes.begin(), belief_prefixes.end(),
--- a/src/gateway/registry_listener.cpp
+++ b/src/gateway/registry_listener.cpp
@@ -66,7 +66,7 @@
     if (error) {
         to.avoid_until = time_point::max();
         log_.write(logging::weight::notable, "registry.source.lost",
-                   {{"daemon", to.daemon.id.str()}, {"reason", error.message()}});
+                   {{"source", to.daemon.id.str()}, {"reason", error.message()}});
         return;
     }
     const auto channel = std::make_shared<peer_channel>(loop_, time_);
@@ -81,7 +81,7 @@
 
 void registry_listener::drop(source& from, const char* reason) {
     log_.write(logging::weight::notable, "registry.source.lost",
-               {{"daemon", from.daemon.id.str()}, {"reason", reason}});
+               {{"source", from.daemon.id.str()}, {"reason", reason}});
     // Closing calls no handler of this object: only messages are handled.
     std::exchange(from.channel, nullptr)->close();
     from.avoid_until = time_.now() + unreachable_pause;
@@ -143,7 +143,7 @@
         }
         if (row->heard_at == time_point{}) {
             log_.write(logging::weight::notable, "registry.source.heard",
-                       {{"daemon", from.str()}, {"revision", look->through.value()}});
+                       {{"source", from.str()}, {"revision", look->through.value()}});
         }
         row->heard_at = time_.now();
         heard_(to_look(*look));
--- a/test/gateway/registry_listener_test.cpp
+++ b/test/gateway/registry_listener_test.cpp
@@ -22,7 +22,11 @@
 struct registry_listener_fixture {
     system_clock time;
     asio::io_context loop{1};
-    logging::event_log log{time, "self", {}, [](std::string_view) { return true; }};
+    std::string written;
+    logging::event_log log{time, "self", {}, [this](std::string_view line) {
+                               written.append(line);
+                               return true;
+                           }};
     std::map<daemon_id, std::unique_ptr<gateway::registry_publisher>> publishers;
     std::vector<discovery::registered_daemon> daemons;
     std::vector<daemon_id> order; ///< of the domain of four
@@ -95,6 +99,8 @@
     CHECK(runs_until([this] { return heard.size() > 4; }));
     CHECK(hears({order[0], order[1]}));
     CHECK(publishers[daemon_id{"e1"}]->subscribers() == 0);
+    CHECK(written.find(R"("daemon":"self","event":"registry.source.heard","source":")" +
+                       order[0].str() + "\"") != std::string::npos);
 }
 
 TEST_CASE_FIXTURE(registry_listener_fixture, "first daemon of its domain, hears nobody") {
--- a/test/tool/explain_test.cpp
+++ b/test/tool/explain_test.cpp
@@ -1,6 +1,7 @@
 #include "programs/cicadahatch/command.hpp"
 #include "programs/cicadahatch/story.hpp"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <filesystem>
 #include <fstream>
@@ -19,6 +20,7 @@
         R"({"t":1000,"daemon":"d1","event":"store.reached","error":""}
 {"t":9000,"daemon":"d1","event":"backend.ejected","backend":"x-1","failures":2}
 a line of another kind
+{"t":9400,"daemon":"d1","event":"registry.source.lost","source":"d3","reason":"silent"}
 {"t":9500,"daemon":"d1","event":"home.reached","home":"d2"}
 {"t":10000,"daemon":"d1","event":"place.asked","request":"r1","backend":"x-1","tokens":10,"status":503,"error":""}
    10.0200 d1 {"t":10020,"daemon":"d1","event":"placement.answered","request":"r1","home":"d2","answer":1,"reason":"refused by the home: 1"}
@@ -45,7 +47,7 @@
 } // namespace
 
 TEST_CASE_FIXTURE(log_fixture, "read_records, other lines and broken ones, are left out") {
-    CHECK(records.size() == 10);
+    CHECK(records.size() == 11);
     CHECK(records.front().at == 1000ms);
     CHECK(records.front().daemon == "d1");
 }
@@ -56,7 +58,8 @@
     CHECK(story->daemon == "d1");
     CHECK(events_of(story->lines) ==
           std::vector<std::string>{"place.asked", "placement.answered", "request.end"});
-    CHECK(events_of(story->beliefs) == std::vector<std::string>{"backend.ejected", "home.reached"});
+    CHECK(events_of(story->beliefs) ==
+          std::vector<std::string>{"backend.ejected", "registry.source.lost", "home.reached"});
     // Of the other daemon only what concerns an engine that the request met.
     REQUIRE(story->elsewhere.size() == 1);
     CHECK(story->elsewhere.front().fields["backend"] == "x-1");
@@ -73,7 +76,11 @@
 }
 
 TEST_CASE_FIXTURE(log_fixture, "conclusion_of, request without an end, says so") {
-    records.erase(records.begin() + 5);
+    const auto end = std::find_if(records.begin(), records.end(), [](const tool::log_record& row) {
+        return row.event == "request.end" && row.fields["request"] == "r1";
+    });
+    REQUIRE(end != records.end());
+    records.erase(end);
     const auto story = tool::tell_story(records, "r1", 5s);
     REQUIRE(story);
     CHECK(tool::conclusion_of(*story).find("no end") != std::string::npos);
