--- a/src/discovery/follower.cpp
+++ b/src/discovery/follower.cpp
@@ -127,7 +127,7 @@
 }
 
 result<registry_update> follower::listen() {
-    const auto heard = heard_->take(rules_.serving_wait);
+    auto heard = heard_->take(rules_.serving_wait);
     if (!heard) {
         return completed({});
     }
@@ -136,12 +136,11 @@
     }
     note_reached(true);
     settled_at_ = std::max(settled_at_, time_.now() + heard->settling);
-    std::vector<store::change> changes = heard->changes;
-    std::erase_if(changes, [this](const store::change& row) {
+    std::erase_if(heard->changes, [this](const store::change& row) {
         return row.changed.modified <= watch_.position();
     });
     watch_.skip_through(heard->through);
-    registry_update update = read_changes(changes);
+    registry_update update = read_changes(heard->changes);
     update.is_heard = true;
     return completed(std::move(update));
 }
@@ -158,8 +157,10 @@
 }
 
 registry_update follower::completed(registry_update update) const {
-    for (const auto& [key, daemon] : daemons_) {
-        update.daemons.push_back(daemon);
+    if (update.has_daemons) {
+        for (const auto& [key, daemon] : daemons_) {
+            update.daemons.push_back(daemon);
+        }
     }
     update.keep_until = settled_at_;
     return update;
--- a/src/discovery/follower.hpp
+++ b/src/discovery/follower.hpp
@@ -43,10 +43,10 @@
     std::optional<routing::configuration> configuration;
     std::vector<backend> present;
     std::vector<backend_id> absent;
-    std::vector<std::string> unreadable; ///< keys
-    bool is_whole = false;               ///< present lists every backend server
-    bool has_daemons = false;            ///< the list of daemons is new
-    std::vector<registered_daemon> daemons;
+    std::vector<std::string> unreadable;    ///< keys
+    bool is_whole = false;                  ///< present lists every backend server
+    bool has_daemons = false;               ///< the list of daemons is new
+    std::vector<registered_daemon> daemons; ///< all of them, if the list is new
     time_point keep_until; ///< backend servers that vanish by this update count as there until then
     bool is_heard = false; ///< another daemon has looked
 };
--- a/src/forwarding/decode_stream.cpp
+++ b/src/forwarding/decode_stream.cpp
@@ -95,12 +95,7 @@
     answer.status = engine->status();
     answer.head = engine->head();
     answer.facts = state.wire.read_answer(answer.head);
-    while (!answer.error && !engine->is_answer_complete()) {
-        answer.error = co_await engine->read_body(answer.body);
-        if (!answer.error && answer.body.size() > max_whole_answer_bytes) {
-            answer.error = errc::too_large;
-        }
-    }
+    answer.error = co_await read_rest(engine, answer.body);
     if (!answer.error && is_success(answer.status)) {
         answer.error = errc::bad_answer; // It bears no signature, so it is not the engine's.
     }
--- a/src/forwarding/exchange.cpp
+++ b/src/forwarding/exchange.cpp
@@ -2,7 +2,6 @@
 
 #include "src/forwarding/constants.hpp"
 #include "src/forwarding/error.hpp"
-#include "src/forwarding/relay_answer.hpp"
 
 namespace cicadahatch::forwarding {
 
@@ -11,9 +10,6 @@
 /// Answers to other requests that are dropped before the connection is given up.
 constexpr int max_foreign_answers = 3;
 
-/// RFC 9110, 15.6.4.
-constexpr unsigned status_unavailable = 503;
-
 asio::awaitable<open_exchange> obtain_connection(gateway_state& state, const life_ptr& life,
                                                  const discovery::backend& to) {
     open_exchange obtained;
@@ -54,7 +50,9 @@
     if (is_news && state.places != nullptr && from.role != backend_role::plain) {
         state.places->engine_leaves(from);
     }
-    if (status != status_unavailable || !facts.retry_after) {
+    const bool is_refusal =
+        status == static_cast<unsigned>(beast_http::status::service_unavailable);
+    if (!is_refusal || !facts.retry_after) {
         return;
     }
     auto& load = balancing::load_of(state.loads, from.id, from.started);
@@ -89,6 +87,23 @@
 
 } // namespace
 
+bool is_success(unsigned status) noexcept {
+    constexpr unsigned first_success = 200;
+    constexpr unsigned after_success = 300;
+    return status >= first_success && status < after_success;
+}
+
+asio::awaitable<std::error_code> read_rest(connection_ptr connection, std::string& body) {
+    std::error_code error;
+    while (!error && !connection->is_answer_complete()) {
+        error = co_await connection->read_body(body);
+        if (!error && body.size() > max_whole_answer_bytes) {
+            error = errc::too_large;
+        }
+    }
+    co_return error;
+}
+
 asio::awaitable<open_exchange> open(gateway_state& state, life_ptr life, discovery::backend to,
                                     backend_request sent, time_point silent_at) {
     open_exchange exchange = co_await obtain_connection(state, life, to);
@@ -122,11 +137,8 @@
     open_exchange exchange = co_await open(state, life, to, std::move(sent), silent_at);
     answer.error = exchange.error;
     const connection_ptr connection = exchange.connection;
-    while (!answer.error && !connection->is_answer_complete()) {
-        answer.error = co_await connection->read_body(answer.body);
-        if (!answer.error && answer.body.size() > max_whole_answer_bytes) {
-            answer.error = errc::too_large;
-        }
+    if (!answer.error) {
+        answer.error = co_await read_rest(connection, answer.body);
     }
     if (life) {
         life->detach(connection);
--- a/src/forwarding/exchange.hpp
+++ b/src/forwarding/exchange.hpp
@@ -23,6 +23,13 @@
     std::string body;
 };
 
+[[nodiscard]] bool is_success(unsigned status) noexcept;
+
+/// \brief Reads the rest of an answer's body.
+/// \returns the failure, errc::too_large for a body without a reasonable end
+[[nodiscard]] asio::awaitable<std::error_code> read_rest(connection_ptr connection,
+                                                         std::string& body);
+
 /// \brief Sends a request to a backend server and reads the head of the answer to it. Answers to
 /// other requests that arrive in its place are dropped.
 /// \param silent_at when a server that has sent nothing is given up
--- a/src/forwarding/relay_answer.cpp
+++ b/src/forwarding/relay_answer.cpp
@@ -53,12 +53,6 @@
     return made;
 }
 
-bool is_success(unsigned status) noexcept {
-    constexpr unsigned first_success = 200;
-    constexpr unsigned after_success = 300;
-    return status >= first_success && status < after_success;
-}
-
 bool is_sound(const whole_answer& answer) {
     return !is_success(answer.status) || answer.facts.is_signed;
 }
--- a/src/forwarding/relay_answer.hpp
+++ b/src/forwarding/relay_answer.hpp
@@ -8,8 +8,6 @@
 /// \returns a backend server's whole answer as it goes to the caller
 [[nodiscard]] caller_answer to_caller(whole_answer answer);
 
-[[nodiscard]] bool is_success(unsigned status) noexcept;
-
 /// \returns whether the answer may be handed on: a success counts only with its signature
 [[nodiscard]] bool is_sound(const whole_answer& answer);
 
--- a/src/gateway/internal/parts.cpp
+++ b/src/gateway/internal/parts.cpp
@@ -176,12 +176,10 @@
     }
     follower_ = std::make_unique<discovery::follower>(*guarded_, binding_.entries, rules, time_,
                                                       std::move(self));
-    if (!configured_.registry.empty()) {
-        follower_->rely_on(feed_);
-        follower_->on_look([this](discovery::store_look look) {
-            asio::post(loop_, [this, look = std::move(look)] { publisher_.publish(look); });
-        });
-    }
+    follower_->rely_on(feed_); // Never reliable without a registry: nobody is heard.
+    follower_->on_look([this](discovery::store_look look) {
+        asio::post(loop_, [this, look = std::move(look)] { publisher_.publish(look); });
+    });
     return {};
 }
 
--- a/src/gateway/registry_publisher.hpp
+++ b/src/gateway/registry_publisher.hpp
@@ -11,8 +11,8 @@
 
 namespace cicadahatch::gateway {
 
-/// \brief Tells the daemons that have connected what this one reads from the store. Nothing that
-/// they send is read. Used by the event loop's thread.
+/// \brief Tells the daemons that have connected what this one reads from the store. Messages
+/// that they send are ignored. Used by the event loop's thread.
 class registry_publisher {
 public:
     registry_publisher(forwarding::asio::io_context& loop, const clock& time);
--- a/src/scheduling/cell_state.hpp
+++ b/src/scheduling/cell_state.hpp
@@ -50,10 +50,9 @@
     std::unordered_map<team_id, team_queue> teams;
     std::set<std::pair<double, team_id>> backlogged; ///< teams with entries, by virtual time
     work_amount waiting;
-    time_point asked_at;       ///< when the latest of its requests arrived
-    double usage = 0;          ///< average part of the cell's engine seconds granted to the level
-    double credit = 0;         ///< engine seconds owed to the level by its floor
-    double largest_credit = 0; ///< bound on the credit; zero: the level has no floor
+    time_point asked_at; ///< when the latest of its requests arrived
+    double usage = 0;    ///< average part of the cell's engine seconds granted to the level
+    double credit = 0;   ///< engine seconds owed to the level by its floor
 };
 
 /// \brief The levels of one service in one rank; the first goes before the others but for what
--- a/src/scheduling/internal/fair_queue.cpp
+++ b/src/scheduling/internal/fair_queue.cpp
@@ -46,9 +46,10 @@
 }
 
 /// Whether the level's floor has earned what its next request costs.
-bool is_owed(const cell_state& state, const level_queue& level, const waiting_request& head) {
-    const double cost = std::min(expected_cost(state, head), level.largest_credit);
-    return level.largest_credit > 0 && level.credit >= cost;
+bool is_owed(const cell_state& state, const service_queue& service, std::uint8_t number,
+             const waiting_request& head) {
+    const double rate = owed_rate(state, service, number);
+    return rate > 0 && has_earned(state, service.levels.at(number).credit, rate, head);
 }
 
 const waiting_request* next_of_service(cell_state& state, service_queue& service,
@@ -56,7 +57,7 @@
     const waiting_request* first = nullptr;
     for (const auto& [number, level] : service.levels) {
         const waiting_request* head = head_of(state, service, number, skipped);
-        if (head != nullptr && is_owed(state, level, *head)) {
+        if (head != nullptr && is_owed(state, service, number, *head)) {
             return head;
         }
         first = first == nullptr ? head : first;
--- a/src/scheduling/internal/prediction.cpp
+++ b/src/scheduling/internal/prediction.cpp
@@ -98,10 +98,21 @@
     return queue.floor * policy.floor_margin * state.capacity.engine_seconds;
 }
 
+double owed_rate(const cell_state& state, const service_queue& service,
+                 std::uint8_t level) noexcept {
+    const bool is_first = service.levels.empty() || level == service.levels.begin()->first;
+    return is_first ? 0 : service.level_floor * state.capacity.engine_seconds;
+}
+
 double largest_credit(double owed_rate) noexcept {
     return owed_rate * credit_seconds;
 }
 
+bool has_earned(const cell_state& state, double credit, double owed_rate,
+                const waiting_request& next) noexcept {
+    return credit >= std::min(expected_cost(state, next), largest_credit(owed_rate));
+}
+
 void predict_request(const cell_state& state, const cell_policy& policy, waiting_request& request) {
     const cell_capacity& typical = state.capacity;
     const request_spec& spec = request.spec;
--- a/src/scheduling/internal/prediction.hpp
+++ b/src/scheduling/internal/prediction.hpp
@@ -51,11 +51,20 @@
 [[nodiscard]] double owed_rate(const cell_state& state, const cell_policy& policy,
                                const rank_queue& queue) noexcept;
 
+/// \returns the engine seconds that the floor of a level of a service earns in a second; zero for
+/// its first level
+[[nodiscard]] double owed_rate(const cell_state& state, const service_queue& service,
+                               std::uint8_t level) noexcept;
+
 /// \returns the most that a rank or level can be owed, so that a pause can't turn into a long
 /// monopoly
 /// \param owed_rate engine seconds that it earns in a second
 [[nodiscard]] double largest_credit(double owed_rate) noexcept;
 
+/// \returns whether a floor has earned what the next request costs, or the most that it can be owed
+[[nodiscard]] bool has_earned(const cell_state& state, double credit, double owed_rate,
+                              const waiting_request& next) noexcept;
+
 /// \brief Writes the predictions that depend on the cell's typical engine.
 void predict_request(const cell_state& state, const cell_policy& policy, waiting_request& request);
 
--- a/src/scheduling/systems/admit.cpp
+++ b/src/scheduling/systems/admit.cpp
@@ -5,7 +5,6 @@
 #include "src/scheduling/internal/refuse.hpp"
 #include "src/scheduling/internal/retry_after.hpp"
 
-#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -18,8 +17,7 @@
     const service_queue* service = queue.services.find(request.spec.service);
     const level_queue& level = service->levels.at(request.spec.level);
     work_amount ahead = level.teams.at(request.spec.team).ahead;
-    ahead.prefill_seconds = std::max(ahead.prefill_seconds - request.prefill_seconds, 0.0);
-    ahead.slot_seconds = std::max(ahead.slot_seconds - request.slot_seconds, 0.0);
+    internal::remove_work(ahead, internal::work_of(request));
     return ahead;
 }
 
--- a/src/scheduling/systems/grant.cpp
+++ b/src/scheduling/systems/grant.cpp
@@ -117,9 +117,8 @@
     if (next == nullptr || queue.floor <= 0) {
         return false;
     }
-    const double cost = internal::expected_cost(state, *next);
-    return queue.credit >=
-           std::min(cost, internal::largest_credit(internal::owed_rate(state, policy, queue)));
+    const double rate = internal::owed_rate(state, policy, queue);
+    return internal::has_earned(state, queue.credit, rate, *next);
 }
 
 /// Whether no work is expected that the reserve is kept for.
--- a/src/scheduling/systems/predict.cpp
+++ b/src/scheduling/systems/predict.cpp
@@ -110,16 +110,20 @@
     return capacity;
 }
 
+/// \returns what a floor that earns at a rate is owed later; nothing while its work does not wait
+double aged_credit(double credit, double owed_rate, double elapsed, const work_amount& waiting) {
+    if (waiting.requests == 0) {
+        return 0;
+    }
+    const double largest = internal::largest_credit(owed_rate);
+    return std::clamp(credit + owed_rate * elapsed, -largest * largest_debt_part, largest);
+}
+
 void update_levels(service_queue& service, const cell_state& state, double elapsed, double decay) {
     for (auto& [number, level] : service.levels) {
         level.usage *= decay;
-        const bool is_first = number == service.levels.begin()->first;
-        const double rate = is_first ? 0 : service.level_floor * state.capacity.engine_seconds;
-        level.largest_credit = internal::largest_credit(rate);
-        const double earned = level.credit + rate * elapsed;
-        const double debt = level.largest_credit * largest_debt_part;
-        const bool has_floor = level.waiting.requests > 0 && rate > 0;
-        level.credit = has_floor ? std::clamp(earned, -debt, level.largest_credit) : 0;
+        const double rate = internal::owed_rate(state, service, number);
+        level.credit = aged_credit(level.credit, rate, elapsed, level.waiting);
     }
 }
 
@@ -130,14 +134,8 @@
     for (service_queue& service : queue.services.rows()) {
         update_levels(service, state, elapsed, decay);
     }
-    const double owed_rate = internal::owed_rate(state, policy, queue);
-    const double largest = internal::largest_credit(owed_rate);
-    if (queue.waiting.requests == 0) {
-        queue.credit = 0;
-        return;
-    }
-    queue.credit =
-        std::clamp(queue.credit + owed_rate * elapsed, -largest * largest_debt_part, largest);
+    const double rate = internal::owed_rate(state, policy, queue);
+    queue.credit = aged_credit(queue.credit, rate, elapsed, queue.waiting);
 }
 
 /// Load of others that no report confirms any more must not close an engine for good.
--- a/test/discovery/follower_test.cpp
+++ b/test/discovery/follower_test.cpp
@@ -47,13 +47,9 @@
         return made;
     }
     void put(const std::string& key, const std::string& value) {
-        const auto current = kept.get(key).value();
-        const auto at = current ? current->modified : revision{};
-        REQUIRE(kept.swap(key, at, value, {}).value().is_swapped);
-    }
-    void erase(const std::string& key) {
-        REQUIRE(kept.erase(key, kept.get(key).value()->modified).value().is_swapped);
+        REQUIRE(test_support::put(kept, key, value));
     }
+    void erase(const std::string& key) { REQUIRE(test_support::erase(kept, key)); }
     registry_update poll() { return followed.poll().value(); }
 };
 
--- a/test/discovery/registry_feed_test.cpp
+++ b/test/discovery/registry_feed_test.cpp
@@ -68,12 +68,17 @@
         listener.looks.clear();
     }
     void put(const std::string& key, const std::string& value) {
-        const auto current = kept.get(key).value();
-        const auto at = current ? current->modified : revision{};
-        REQUIRE(kept.swap(key, at, value, {}).value().is_swapped);
+        REQUIRE(test_support::put(kept, key, value));
     }
-    void erase(const std::string& key) {
-        REQUIRE(kept.erase(key, kept.get(key).value()->modified).value().is_swapped);
+    void erase(const std::string& key) { REQUIRE(test_support::erase(kept, key)); }
+    /// Has an entry that both know end after an outage of which only the reader learns.
+    void erase_after_outage(const std::string& key) {
+        put(key, "x");
+        static_cast<void>(pass_on());
+        kept.set_fault(store_fault::unavailable);
+        REQUIRE_FALSE(reader.followed.poll());
+        kept.set_fault(store_fault::none);
+        erase(key);
     }
     /// Has the reader look and the listener hear of it.
     registry_update pass_on() {
@@ -173,12 +178,7 @@
 TEST_CASE_FIXTURE(registry_feed_fixture,
                   "entry ends after an outage that only the reader has seen, "
                   "is kept while it may come back") {
-    put("s/a", "x");
-    static_cast<void>(pass_on());
-    kept.set_fault(store_fault::unavailable);
-    REQUIRE_FALSE(reader.followed.poll());
-    kept.set_fault(store_fault::none);
-    erase("s/a");
+    erase_after_outage("s/a");
     const registry_update update = pass_on();
     CHECK(update.absent == std::vector{backend_id{"a"}});
     CHECK(update.keep_until > time.now() + 2s);
@@ -187,12 +187,7 @@
 
 TEST_CASE_FIXTURE(registry_feed_fixture,
                   "look of an outage, taken late, entries are kept no longer") {
-    put("s/a", "x");
-    static_cast<void>(pass_on());
-    kept.set_fault(store_fault::unavailable);
-    REQUIRE_FALSE(reader.followed.poll());
-    kept.set_fault(store_fault::none);
-    erase("s/a");
+    erase_after_outage("s/a");
     static_cast<void>(reader.followed.poll().value());
     listener.heard.offer(reader.looks.back());
     const time_point heard_at = time.now();
--- a/test/scheduling/fairness_invariant_test.cpp
+++ b/test/scheduling/fairness_invariant_test.cpp
@@ -17,8 +17,7 @@
     manual_clock time;
     cell_policy policy;
     cell_state state = test_support::small_cell(time.now());
-    std::multimap<time_point, request_id> prefill_ends;
-    std::multimap<time_point, request_id> stream_ends;
+    test_support::granted_streams streams;
     std::map<team_id, double> granted_tokens;
     std::map<rank, double> granted_seconds;
     std::map<request_id, request_spec> asked;
@@ -50,32 +49,17 @@
         }
     }
 
-    void end_due() {
-        while (!prefill_ends.empty() && prefill_ends.begin()->first <= time.now()) {
-            const request_id request = prefill_ends.begin()->second;
-            prefill_ends.erase(prefill_ends.begin());
-            prefill_finished(state, request, 0, time.now());
-            first_token(state, request, time.now());
-            stream_ends.emplace(time.now() + 1s, request);
-        }
-        while (!stream_ends.empty() && stream_ends.begin()->first <= time.now()) {
-            release(state, policy, stream_ends.begin()->second, outcome::completed, 200,
-                    time.now());
-            stream_ends.erase(stream_ends.begin());
-        }
-    }
-
     void step() {
         time.advance(tick_period);
-        end_due();
+        streams.end_due(state, policy, 200, time.now());
         for (const grant& issued : tick(state, policy, time.now()).grants) {
             const request_spec& spec = asked[issued.request];
             const live_grant* held = state.grants.find(issued.request);
             granted_tokens[spec.team] += spec.prompt_tokens;
             granted_seconds[spec.rank] += held->cost;
             longest_wait = std::max(longest_wait, time.now() - spec.arrived);
-            prefill_ends.emplace(time.now() + std::chrono::microseconds{spec.prompt_tokens * 25},
-                                 issued.request);
+            streams.prefill_ends.emplace(
+                time.now() + std::chrono::microseconds{spec.prompt_tokens * 25}, issued.request);
         }
     }
 };
@@ -119,11 +103,11 @@
     for (int count = 0; count < 3'000; ++count) {
         ask(rank::deferrable, "flood", 6'000);
         time.advance(tick_period);
-        end_due();
+        streams.end_due(state, policy, 200, time.now());
         const tick_output output = tick(state, policy, time.now());
         for (const grant& issued : output.grants) {
             longest_wait = std::max(longest_wait, time.now() - asked[issued.request].arrived);
-            prefill_ends.emplace(time.now() + 150ms, issued.request);
+            streams.prefill_ends.emplace(time.now() + 150ms, issued.request);
         }
         for (const refusal& refused_one : output.refusals) {
             ++refused;
--- a/test/scheduling/levels_test.cpp
+++ b/test/scheduling/levels_test.cpp
@@ -23,11 +23,9 @@
     manual_clock time;
     cell_policy policy;
     cell_state state = test_support::small_cell(time.now());
-    std::multimap<time_point, request_id> prefill_ends;
-    std::multimap<time_point, request_id> stream_ends;
+    test_support::granted_streams streams;
     std::map<request_id, request_spec> asked;
     std::map<std::uint8_t, int> granted;
-    std::map<std::uint8_t, int> refused;
     std::map<std::uint8_t, int> waiting;
     double engine_seconds = 0;
     std::map<std::uint8_t, double> granted_seconds;
@@ -56,24 +54,9 @@
         }
     }
 
-    void end_due() {
-        while (!prefill_ends.empty() && prefill_ends.begin()->first <= time.now()) {
-            const request_id request = prefill_ends.begin()->second;
-            prefill_ends.erase(prefill_ends.begin());
-            prefill_finished(state, request, 0, time.now());
-            first_token(state, request, time.now());
-            stream_ends.emplace(time.now() + 1s, request);
-        }
-        while (!stream_ends.empty() && stream_ends.begin()->first <= time.now()) {
-            release(state, policy, stream_ends.begin()->second, outcome::completed, output_tokens,
-                    time.now());
-            stream_ends.erase(stream_ends.begin());
-        }
-    }
-
     void step() {
         time.advance(5ms);
-        end_due();
+        streams.end_due(state, policy, output_tokens, time.now());
         const tick_output output = tick(state, policy, time.now());
         engine_seconds += state.capacity.engine_seconds / ticks_a_second;
         for (const grant& issued : output.grants) {
@@ -81,12 +64,10 @@
             ++granted[level];
             --waiting[level];
             granted_seconds[level] += state.grants.find(issued.request)->cost;
-            prefill_ends.emplace(time.now() + 150ms, issued.request);
+            streams.prefill_ends.emplace(time.now() + 150ms, issued.request);
         }
         for (const refusal& told : output.refusals) {
-            const std::uint8_t level = asked[told.request].level;
-            ++refused[level];
-            --waiting[level];
+            --waiting[asked[told.request].level];
         }
     }
 
--- a/test/scheduling/retry_after_test.cpp
+++ b/test/scheduling/retry_after_test.cpp
@@ -21,8 +21,7 @@
     manual_clock time;
     cell_policy policy;
     cell_state state = test_support::small_cell(time.now(), 4, 8);
-    std::multimap<time_point, request_id> prefill_ends;
-    std::multimap<time_point, request_id> stream_ends;
+    test_support::granted_streams streams;
     std::multimap<time_point, int> returning;
     std::map<request_id, int> asked; ///< times that the caller has come back
     std::size_t next = 0;
@@ -50,18 +49,7 @@
     }
 
     void end_due() {
-        while (!prefill_ends.empty() && prefill_ends.begin()->first <= time.now()) {
-            const request_id request = prefill_ends.begin()->second;
-            prefill_ends.erase(prefill_ends.begin());
-            prefill_finished(state, request, 0, time.now());
-            first_token(state, request, time.now());
-            stream_ends.emplace(time.now() + 1s, request);
-        }
-        while (!stream_ends.empty() && stream_ends.begin()->first <= time.now()) {
-            release(state, policy, stream_ends.begin()->second, outcome::completed, output_tokens,
-                    time.now());
-            stream_ends.erase(stream_ends.begin());
-        }
+        streams.end_due(state, policy, output_tokens, time.now());
         while (!returning.empty() && returning.begin()->first <= time.now()) {
             ask(returning.begin()->second);
             returning.erase(returning.begin());
@@ -89,7 +77,7 @@
             const tick_output output = tick(state, policy, time.now());
             for (const grant& issued : output.grants) {
                 (asked[issued.request] == 0 ? on_time : served_late) += 1;
-                prefill_ends.emplace(time.now() + 150ms, issued.request);
+                streams.prefill_ends.emplace(time.now() + 150ms, issued.request);
             }
             for (const refusal& told : output.refusals) {
                 take(told);
--- a/test/support/memory_store.cpp
+++ b/test/support/memory_store.cpp
@@ -277,4 +277,14 @@
     return batch;
 }
 
+bool put(store::key_value_store& kept, const std::string& key, const std::string& value) {
+    const auto current = kept.get(key).value();
+    const auto at = current ? current->modified : revision{};
+    return kept.swap(key, at, value, {}).value().is_swapped;
+}
+
+bool erase(store::key_value_store& kept, const std::string& key) {
+    return kept.erase(key, kept.get(key).value()->modified).value().is_swapped;
+}
+
 } // namespace cicadahatch::test_support
--- a/test/support/memory_store.hpp
+++ b/test/support/memory_store.hpp
@@ -75,4 +75,13 @@
     std::uint64_t writes_ = 0;
 };
 
+/// \brief Writes a key, whatever it holds.
+/// \returns whether the store has taken it
+[[nodiscard]] bool put(store::key_value_store& kept, const std::string& key,
+                       const std::string& value);
+
+/// \brief Erases a key that is there.
+/// \returns whether the store has done it
+[[nodiscard]] bool erase(store::key_value_store& kept, const std::string& key);
+
 } // namespace cicadahatch::test_support
--- a/test/support/scheduling_cell.cpp
+++ b/test/support/scheduling_cell.cpp
@@ -62,4 +62,20 @@
     return spec;
 }
 
+void granted_streams::end_due(scheduling::cell_state& state, const scheduling::cell_policy& policy,
+                              std::uint32_t output_tokens, time_point now) {
+    while (!prefill_ends.empty() && prefill_ends.begin()->first <= now) {
+        const request_id request = prefill_ends.begin()->second;
+        prefill_ends.erase(prefill_ends.begin());
+        scheduling::prefill_finished(state, request, 0, now);
+        scheduling::first_token(state, request, now);
+        stream_ends.emplace(now + 1s, request);
+    }
+    while (!stream_ends.empty() && stream_ends.begin()->first <= now) {
+        scheduling::release(state, policy, stream_ends.begin()->second,
+                            scheduling::outcome::completed, output_tokens, now);
+        stream_ends.erase(stream_ends.begin());
+    }
+}
+
 } // namespace cicadahatch::test_support
