Log what request limit a server states and what was known when a request was sent

Cause of the gap: no log line or metric told whether a daemon had heard a server's Server-Limit, so 'not read' could not be told from 'read and applied wrongly' or 'dropped again'. A limit ends with a signed response without it to a request that was sent after the last response that stated it, so that a response that was overtaken doesn't end it.

--- a/src/balancing/backend_load.cpp
+++ b/src/balancing/backend_load.cpp
@@ -49,6 +49,20 @@
     return is_extended;
 }
 
+bool state_limit(backend_load& load, double requests_per_second, time_point now) {
+    const bool is_changed = !load.limit || load.limit->requests_per_second != requests_per_second;
+    load.limit = request_limit{requests_per_second, now};
+    return is_changed;
+}
+
+bool lift_limit(backend_load& load, time_point sent_at) {
+    if (!load.limit || sent_at <= load.limit->stated_at) {
+        return false;
+    }
+    load.limit.reset();
+    return true;
+}
+
 void record_prefill(backend_load& load, duration elapsed) {
     if (load.prefill_time == duration::zero()) {
         load.prefill_time = elapsed;
--- a/src/balancing/backend_load.hpp
+++ b/src/balancing/backend_load.hpp
@@ -5,9 +5,16 @@
 #include "src/core/table.hpp"
 
 #include <cstdint>
+#include <optional>
 
 namespace cicadahatch::balancing {
 
+/// \brief A request limit that a backend server has stated.
+struct request_limit {
+    double requests_per_second = 0; ///< from all daemons together
+    time_point stated_at;           ///< time of the latest response that stated it
+};
+
 /// \brief Load and health of one backend server, as seen from this daemon's own requests.
 struct backend_load {
     backend_id id;
@@ -20,6 +27,7 @@
     time_point ejected_until;
     time_point full_until;    ///< the engine has just rejected a reservation
     time_point backoff_until; ///< the server has asked for no requests
+    std::optional<request_limit> limit;
 };
 
 using load_table = table<backend_id, backend_load>;
@@ -45,6 +53,15 @@
 /// \returns whether this extends an earlier backoff
 bool extend_backoff(backend_load& load, time_point until);
 
+/// \brief Records the request limit stated in a response.
+/// \returns whether the limit differs from the one known before
+bool state_limit(backend_load& load, double requests_per_second, time_point now);
+
+/// \brief Records a response without a request limit. It lifts the limit if the request was sent
+/// after the latest response that stated it; an earlier one may have been overtaken.
+/// \returns whether this lifted the limit
+bool lift_limit(backend_load& load, time_point sent_at);
+
 /// \brief Updates the moving average of the prefill duration.
 void record_prefill(backend_load& load, duration elapsed);
 
--- a/src/forwarding/exchange.cpp
+++ b/src/forwarding/exchange.cpp
@@ -65,11 +65,30 @@
     }
 }
 
+/// Records the request limit that a backend server has stated, or that it states none any more.
+/// Only a signed response shows the latter: others may come without the server's fields.
+void record_request_limit(gateway_state& state, const discovery::backend& backend,
+                          const response_metadata& metadata, time_point sent_at) {
+    auto& load = balancing::load_of(state.loads, backend.id, backend.started);
+    const auto& stated = metadata.max_requests_per_second;
+    const bool is_changed = stated ? balancing::state_limit(load, *stated, state.time.now())
+                                   : metadata.is_signed && balancing::lift_limit(load, sent_at);
+    if (!is_changed) {
+        return;
+    }
+    state.log.write(logging::weight::notable, stated ? "backend.limited" : "backend.limit.lifted",
+                    {{"backend", backend.id.str()},
+                     {"request", metadata.id.str()},
+                     {"requests_per_second", stated.value_or(0)},
+                     {"daemons", state.daemon_count}});
+}
+
 /// Reads response heads until one matches the request.
+/// \param sent_at when the request was sent
 asio::awaitable<std::error_code> read_matching_head(gateway_state& state,
                                                     discovery::backend backend,
-                                                    connection_ptr connection,
-                                                    request_id expected) {
+                                                    connection_ptr connection, request_id expected,
+                                                    time_point sent_at) {
     for (int skipped = 0; skipped <= max_foreign_responses; ++skipped) {
         std::error_code error = co_await connection->read_head();
         if (error) {
@@ -80,6 +99,7 @@
         // A success without an id is the response to a call of the engine's management interface.
         const bool may_lack_id = expected.empty() || !is_success(connection->status());
         if (metadata.id == expected || (metadata.id.empty() && may_lack_id)) {
+            record_request_limit(state, backend, metadata, sent_at);
             co_return error;
         }
         error = co_await drain_response(connection);
@@ -126,8 +146,10 @@
     }
     const request_id expected = state.wire.parse_request(outgoing).id;
     exchange.connection->set_deadline(deadline);
+    const time_point sent_at = state.time.now();
     exchange.connection->start_request(std::move(outgoing));
-    exchange.error = co_await read_matching_head(state, target, exchange.connection, expected);
+    exchange.error =
+        co_await read_matching_head(state, target, exchange.connection, expected, sent_at);
     if (exchange.error) {
         exchange.connection->close();
         if (request) {
--- a/src/forwarding/plain_forward.cpp
+++ b/src/forwarding/plain_forward.cpp
@@ -82,6 +82,7 @@
                     {{"request", request->metadata().id.str()},
                      {"backend", target.id.str()},
                      {"running", load.running},
+                     {"limit", load.limit ? load.limit->requests_per_second : 0},
                      {"time_left_ms", options.time_left},
                      {"status", response.status},
                      {"not_run", response.metadata.is_not_executed},
--- a/src/forwarding/wire_protocol.hpp
+++ b/src/forwarding/wire_protocol.hpp
@@ -45,6 +45,8 @@
     bool is_leaving = false;      ///< the server accepts no more work until it restarts
     /// How long this daemon must not send requests to the server.
     std::optional<std::chrono::milliseconds> retry_after;
+    /// Requests per second that the server accepts from all daemons together; empty: no limit.
+    std::optional<double> max_requests_per_second;
 };
 
 /// \brief Response to a successful prefill.
--- a/src/gateway/internal/gateway_daemon_impl.cpp
+++ b/src/gateway/internal/gateway_daemon_impl.cpp
@@ -278,6 +278,12 @@
               state_.connections.size());
     set_gauge("cicadahatch_callers", "Connections of callers", callers_.size());
     set_gauge("cicadahatch_backends", "Backend servers known", state_.backends.entries().size());
+    const auto& loads = state_.loads.rows();
+    const auto limited = std::count_if(loads.begin(), loads.end(),
+                                       [](const auto& row) { return row.limit.has_value(); });
+    set_gauge("cicadahatch_backends_limited",
+              "Backend servers that state how many requests they take",
+              static_cast<std::size_t>(limited));
     set_gauge("cicadahatch_daemons", "Daemons registered in the store", state_.daemon_count);
     set_gauge("cicadahatch_registry_subscribers",
               "Daemons that hear from this one what it reads from the store",
--- a/test/support/platform_stub.cpp
+++ b/test/support/platform_stub.cpp
@@ -274,11 +274,13 @@
 
     void note(const stub_engine& engine, const any_request& asked) {
         const std::lock_guard lock{mutex};
-        received_request row{engine.id, text(asked.method_string()), text(asked.target()), {}, {}};
+        received_request row{engine.id, text(asked.method_string()), text(asked.target()), {}, {},
+                             {}};
         for (const auto& field : asked) {
             row.head.push_back({text(field.name_string()), text(field.value())});
         }
         row.body = asked.body();
+        row.at = std::chrono::steady_clock::now();
         seen.push_back(std::move(row));
     }
 
@@ -298,7 +300,11 @@
         const std::string leaving = script.reports_leaving ? "Server-Leaving: 1\r\n" : "";
         const std::string time =
             states_time ? "Retry-After: " + std::to_string(script.retry_after_s) + "\r\n" : "";
-        return leaving + time;
+        const std::string limit =
+            script.request_limit > 0
+                ? "Server-Limit: " + std::to_string(script.request_limit) + "\r\n"
+                : "";
+        return leaving + time + limit;
     }
 
     /// Sends until the daemon closes the connection.
--- a/test/support/platform_stub.hpp
+++ b/test/support/platform_stub.hpp
@@ -38,6 +38,7 @@
     plain_answer plain = plain_answer::normal;
     bool reports_leaving = false;         ///< in every response, whatever its entry states
     unsigned retry_after_s = 0;           ///< sent with refusals; zero: not sent
+    double request_limit = 0;             ///< requests a second, in every response; zero: none
     bool duplicates_hold_answers = false; ///< the copy is sent before the next response
     bool trickles_first_event = false;    ///< single bytes instead of the first event
     bool has_endless_event = false;       ///< an endless event instead of the first
@@ -58,6 +59,7 @@
     std::string target;
     http::header_list head;
     std::string body;
+    std::chrono::steady_clock::time_point at;
 };
 
 /// \brief Stub of the users' platform: its store and any number of engines, on a thread of their
