--- /dev/null
+++ b/test/support/gateway_fleet.hpp
@@ -0,0 +1,149 @@
+#pragma once
+
+#include "test/support/gateway_fixture.hpp"
+
+#include <algorithm>
+#include <functional>
+
+namespace cicadahatch::test_support {
+
+/// Several gateways in this process, of one failure domain, against one stub of the platform.
+struct gateway_fleet {
+    /// Ends the connection after the response.
+    static inline const std::string close_field = "Connection: close\r\n";
+
+    platform_stub stub;
+    system_clock time;
+    boot_clock lease_time;
+
+    explicit gateway_fleet(std::size_t size) {
+        stub.put("op/config", sample_platform_configuration(1));
+        stub.add_engine("shop-1", "shop", "");
+        stub.add_engine("p-1", "model", "prefill");
+        stub.add_engine("x-1", "model", "decode");
+        for (std::size_t index = 1; index <= size; ++index) {
+            add_member("d" + std::to_string(index));
+        }
+        const std::string counted = "\"daemons\":" + std::to_string(size);
+        REQUIRE(eventually([&] { return all_have_logged(counted); }));
+        REQUIRE(eventually([&] { return all_have_logged("home.reached"); }));
+    }
+    gateway_fleet(const gateway_fleet&) = delete;
+    gateway_fleet& operator=(const gateway_fleet&) = delete;
+    gateway_fleet(gateway_fleet&&) = delete;
+    gateway_fleet& operator=(gateway_fleet&&) = delete;
+    ~gateway_fleet() {
+        stop_load();
+        for (const auto& row : members_) {
+            row->daemon->halt();
+            row->thread.join();
+        }
+    }
+
+    /// Registers an engine and waits until all daemons have seen it.
+    void add_engine(const std::string& id, const std::string& service, const std::string& stage) {
+        stub.add_engine(id, service, stage);
+        REQUIRE(eventually([&] { return all_have_logged("\"" + id + "\""); }));
+    }
+
+    [[nodiscard]] bool all_have_logged(const std::string& text) {
+        return std::all_of(members_.begin(), members_.end(),
+                           [&](const auto& row) { return row->has_logged(text); });
+    }
+
+    /// Starts callers that send requests at a steady rate until stop_load().
+    /// \param per_second rate of each daemon's callers
+    void load(const std::vector<int>& per_second, const std::function<std::string()>& request) {
+        for (std::size_t index = 0; index < per_second.size(); ++index) {
+            const auto period = std::chrono::nanoseconds{1s} / per_second.at(index);
+            callers_.emplace_back([this, index, period, request] {
+                auto next = std::chrono::steady_clock::now();
+                while (!is_load_stopped_) {
+                    std::this_thread::sleep_until(next += period);
+                    send(*members_.at(index), request());
+                }
+            });
+        }
+    }
+    void stop_load() {
+        is_load_stopped_ = true;
+        for (std::thread& caller : callers_) {
+            caller.join();
+        }
+        callers_.clear();
+    }
+
+    [[nodiscard]] std::size_t responses() {
+        const std::lock_guard lock{mutex_};
+        return received_.size();
+    }
+    [[nodiscard]] std::size_t count_status(int status) {
+        const std::lock_guard lock{mutex_};
+        return static_cast<std::size_t>(
+            std::count_if(received_.begin(), received_.end(), [status](const std::string& row) {
+                return gateway_fixture::status_of(row) == status;
+            }));
+    }
+    [[nodiscard]] bool every_refusal_has(const std::string& text) {
+        const std::lock_guard lock{mutex_};
+        return std::all_of(received_.begin(), received_.end(), [&text](const std::string& row) {
+            return gateway_fixture::status_of(row) != 503 || row.find(text) != std::string::npos;
+        });
+    }
+
+private:
+    struct member {
+        settings::gateway_settings configured;
+        std::unique_ptr<gateway::gateway_daemon> daemon;
+        std::thread thread;
+        std::mutex mutex;
+        std::string log;
+
+        [[nodiscard]] bool has_logged(const std::string& text) {
+            const std::lock_guard lock{mutex};
+            return log.find(text) != std::string::npos;
+        }
+    };
+
+    void add_member(const std::string& name) {
+        auto& added = *members_.emplace_back(std::make_unique<member>());
+        settings::gateway_settings& configured = added.configured;
+        configured.name = daemon_id{name};
+        configured.domain = domain_id{"a"};
+        configured.callers = free_endpoint();
+        configured.readiness = free_endpoint();
+        configured.peers = free_endpoint();
+        configured.store.address = http::to_string(stub.store());
+        configured.bounds.drain = 500ms;
+        auto built = gateway::gateway_builder{}
+                         .settings(configured)
+                         .time(time)
+                         .lease_time(lease_time)
+                         .platform(platform::binding())
+                         .log_output([&added](std::string_view line) {
+                             const std::lock_guard lock{added.mutex};
+                             added.log.append(line);
+                             return true;
+                         })
+                         .build();
+        REQUIRE(built);
+        added.daemon = std::move(*built);
+        added.thread = std::thread([&added] { static_cast<void>(added.daemon->run()); });
+        REQUIRE(eventually([&added] { return added.has_logged("\"ready\":true"); }));
+    }
+    void send(const member& to, const std::string& bytes) {
+        const raw_caller caller{http::parse_endpoint(to.configured.callers).value()};
+        caller.send(bytes);
+        std::string response = caller.receive_all();
+        const std::lock_guard lock{mutex_};
+        received_.push_back(std::move(response));
+    }
+
+    std::vector<std::unique_ptr<member>> members_;
+    std::vector<std::thread> callers_;
+    std::atomic<bool> is_load_stopped_{false};
+    std::mutex mutex_; ///< guards received_
+    std::vector<std::string> received_;
+};
+
+} // namespace cicadahatch::test_support
