Keep the request limit of a server over all daemons together

What callers and operators saw: servers in need that stated to take about six requests a second (Server-Limit) got twenty, as many as before.

Cause: where requests go depended on free slots, failures, leaving and Retry-After only. The field was not read, so each daemon went on alone. Evidence: with the log lines of all daemons of gateway.server_limit log backend.limited and send on with limit 6 in their request.sent lines.

Change: each daemon uses an equal share in slots that lapse after a second. Every request to the server uses a slot (start_exchange), calls of the engines' interface too; a server without a usable slot is not available, for plain requests, placements, prefills and polls alike. If none is left the caller is refused at once and told when a slot begins.

Why it works: the sum of equal shares is the limit, whatever each daemon's own traffic is, and lapsed slots can't be used together later.

--- a/src/balancing/backend_load.cpp
+++ b/src/balancing/backend_load.cpp
@@ -49,9 +49,14 @@
     return is_extended;
 }
 
-bool state_limit(backend_load& load, double requests_per_second, time_point now) {
-    const bool is_changed = !load.limit || load.limit->requests_per_second != requests_per_second;
-    load.limit = request_limit{requests_per_second, now};
+bool state_limit(backend_load& load, double requests_per_second, std::size_t daemons,
+                 random_source& random, time_point now) {
+    if (!load.limit) {
+        load.limit = make_request_limit(requests_per_second, random, now);
+        return true;
+    }
+    const bool is_changed = load.limit->requests_per_second != requests_per_second;
+    set_rate(*load.limit, requests_per_second, daemons, now);
     return is_changed;
 }
 
--- a/src/balancing/backend_load.hpp
+++ b/src/balancing/backend_load.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "src/balancing/request_limit.hpp"
 #include "src/core/clock.hpp"
 #include "src/core/identifiers.hpp"
 #include "src/core/table.hpp"
@@ -9,12 +10,6 @@
 
 namespace cicadahatch::balancing {
 
-/// \brief A request limit that a backend server has stated.
-struct request_limit {
-    double requests_per_second = 0; ///< from all daemons together
-    time_point stated_at;           ///< time of the latest response that stated it
-};
-
 /// \brief Load and health of one backend server, as seen from this daemon's own requests.
 struct backend_load {
     backend_id id;
@@ -25,9 +20,9 @@
     duration prefill_time{0};          ///< moving average of this daemon's prefill durations
     std::uint32_t consecutive_failures = 0;
     time_point ejected_until;
-    time_point full_until;    ///< the engine has just rejected a reservation
-    time_point backoff_until; ///< the server has asked for no requests
-    std::optional<request_limit> limit;
+    time_point full_until;              ///< the engine has just rejected a reservation
+    time_point backoff_until;           ///< the server has asked for no requests
+    std::optional<request_limit> limit; ///< stated by the server
 };
 
 using load_table = table<backend_id, backend_load>;
@@ -54,8 +49,10 @@
 bool extend_backoff(backend_load& load, time_point until);
 
 /// \brief Records the request limit stated in a response.
+/// \param daemons number of daemons that share the limit
 /// \returns whether the limit differs from the one known before
-bool state_limit(backend_load& load, double requests_per_second, time_point now);
+bool state_limit(backend_load& load, double requests_per_second, std::size_t daemons,
+                 random_source& random, time_point now);
 
 /// \brief Records a response without a request limit. It lifts the limit if the request was sent
 /// after the latest response that stated it; an earlier one may have been overtaken.
--- a/src/forwarding/exchange.cpp
+++ b/src/forwarding/exchange.cpp
@@ -71,7 +71,8 @@
                           const response_metadata& metadata, time_point sent_at) {
     auto& load = balancing::load_of(state.loads, backend.id, backend.started);
     const auto& stated = metadata.max_requests_per_second;
-    const bool is_changed = stated ? balancing::state_limit(load, *stated, state.time.now())
+    const bool is_changed = stated ? balancing::state_limit(load, *stated, state.daemon_count,
+                                                            state.random, state.time.now())
                                    : metadata.is_signed && balancing::lift_limit(load, sent_at);
     if (!is_changed) {
         return;
@@ -132,6 +133,7 @@
 asio::awaitable<open_exchange> start_exchange(gateway_state& state, request_context_ptr request,
                                               discovery::backend target, backend_request outgoing,
                                               time_point deadline) {
+    charge_request_limit(state, target);
     open_exchange exchange = co_await acquire_connection(state, request, target);
     if (exchange.error) {
         exchange.connection->close();
--- a/src/forwarding/gateway_state.cpp
+++ b/src/forwarding/gateway_state.cpp
@@ -35,9 +35,24 @@
     return true;
 }
 
+void charge_request_limit(gateway_state& state, const discovery::backend& target) {
+    auto& load = balancing::load_of(state.loads, target.id, target.started);
+    if (load.limit) {
+        balancing::charge_request(*load.limit, state.daemon_count, state.time.now());
+    }
+}
+
+duration time_until_available(gateway_state& state, const discovery::backend& target) {
+    auto& load = balancing::load_of(state.loads, target.id, target.started);
+    const time_point now = state.time.now();
+    const duration backoff = std::max(duration{0}, load.backoff_until - now);
+    return load.limit ? std::max(backoff, balancing::time_until_allowed(*load.limit,
+                                                                        state.daemon_count, now))
+                      : backoff;
+}
+
 bool is_available(gateway_state& state, const discovery::backend& target) {
-    const auto& load = balancing::load_of(state.loads, target.id, target.started);
-    return !target.is_draining && load.backoff_until <= state.time.now();
+    return !target.is_draining && time_until_available(state, target) == duration{0};
 }
 
 std::vector<const discovery::backend*> available_backends(gateway_state& state,
@@ -48,7 +63,7 @@
     return available;
 }
 
-std::vector<backend_id> backends_in_backoff(gateway_state& state, const service_id& service) {
+std::vector<backend_id> unavailable_backends(gateway_state& state, const service_id& service) {
     std::vector<backend_id> excluded;
     for (const discovery::backend* backend : state.backends.available_backends(service)) {
         if (!is_available(state, *backend)) {
--- a/src/forwarding/gateway_state.hpp
+++ b/src/forwarding/gateway_state.hpp
@@ -66,14 +66,21 @@
 [[nodiscard]] std::vector<const discovery::backend*> available_backends(gateway_state& state,
                                                                         const service_id& service);
 
-/// \returns the engines of a service that are open but have asked this daemon to back off
-[[nodiscard]] std::vector<backend_id> backends_in_backoff(gateway_state& state,
-                                                          const service_id& service);
+/// \returns the engines of a service that are open but accept no request from this daemon now
+[[nodiscard]] std::vector<backend_id> unavailable_backends(gateway_state& state,
+                                                           const service_id& service);
 
 /// \brief Marks a backend server process that has announced that it is leaving.
 /// \returns whether it was not marked before
 bool mark_leaving(gateway_state& state, const backend_id& id, incarnation started);
 
+/// \brief Counts a request to a backend server against the request limit that it has stated.
+void charge_request_limit(gateway_state& state, const discovery::backend& target);
+
+/// \returns the time until a backend server may accept new work from this daemon: the end of its
+/// backoff, and the next request that its limit allows; zero if it accepts work now
+[[nodiscard]] duration time_until_available(gateway_state& state, const discovery::backend& target);
+
 /// \returns whether a backend server accepts new work from this daemon
 [[nodiscard]] bool is_available(gateway_state& state, const discovery::backend& target);
 
--- a/src/forwarding/plain_forward.cpp
+++ b/src/forwarding/plain_forward.cpp
@@ -130,12 +130,11 @@
            (attempts.execution == execution_state::not_executed || is_repeatable);
 }
 
-/// \returns the shortest remaining backoff of the service's servers; zero if one is not backing off
-std::chrono::milliseconds remaining_backoff(gateway_state& state, const service_id& service) {
+/// \returns the time until the first of the service's servers accepts a request
+std::chrono::milliseconds time_until_server(gateway_state& state, const service_id& service) {
     std::optional<duration> shortest;
     for (const discovery::backend* backend : state.backends.available_backends(service)) {
-        const auto& load = balancing::load_of(state.loads, backend->id, backend->started);
-        const duration remaining = std::max(duration{0}, load.backoff_until - state.time.now());
+        const duration remaining = time_until_available(state, *backend);
         shortest = std::min(shortest.value_or(remaining), remaining);
     }
     return std::chrono::ceil<std::chrono::milliseconds>(shortest.value_or(duration{0}));
@@ -156,16 +155,18 @@
                                attempts.sends);
         co_return;
     }
-    const auto retry_after =
-        std::max(plain_retry_after, remaining_backoff(state, attempts.service));
+    const std::chrono::milliseconds until_server = time_until_server(state, attempts.service);
+    const auto retry_after = std::max(plain_retry_after, until_server);
     caller_response response =
         failure_response(attempts.execution, request->end_reason(), retry_after);
     const unsigned status = response.result_int();
     if (request->end_reason() != request_end_reason::caller_left) {
         co_await caller.send(std::move(response));
     }
+    const char* const unavailable =
+        until_server > 0ms ? "all servers have asked for fewer requests" : "no server";
     record_request_end(state, *request, status, "failed",
-                       attempts.error ? attempts.error.message() : "no server", attempts.sends);
+                       attempts.error ? attempts.error.message() : unavailable, attempts.sends);
 }
 
 } // namespace
--- a/src/forwarding/reserve_decode_engine.cpp
+++ b/src/forwarding/reserve_decode_engine.cpp
@@ -170,7 +170,7 @@
     stream.placement.generated_tokens = count_generated_tokens(*request, stream);
     for (int grant = 0; grant < max_grants && !request->is_ended(); ++grant) {
         stream.placement.attempt = attempt_number{stream.placement.attempt.value() + 1};
-        stream.placement.excluded_engines = backends_in_backoff(state, stream.placement.service);
+        stream.placement.excluded_engines = unavailable_backends(state, stream.placement.service);
         const placement_response response =
             co_await state.placements->request_placement(request, stream.placement);
         if (response.result == placement_response::outcome::unreachable) {
--- a/test/gateway/server_limit_test.cpp
+++ b/test/gateway/server_limit_test.cpp
@@ -24,6 +24,9 @@
 /// Time after which a daemon that has heard the limit must keep it (users' rule LIMIT).
 constexpr auto reaction_time = 500ms;
 
+/// Upper bound of the time of a refusal that needs no call to a server, on a busy machine.
+constexpr auto immediately = 200ms;
+
 struct server_limit_fixture : gateway_fleet {
     server_limit_fixture() : gateway_fleet(5) {}
 
@@ -100,4 +103,20 @@
     // One execution for each success: what was refused has not run.
     CHECK(stub.count("shop-1", "/book/x") == count_status(200));
     CHECK(every_refusal_has("Retry-After: "));
+    CHECK(slowest_refusal() < immediately);
+}
+
+TEST_CASE_FIXTURE(server_limit_fixture,
+                  "plain server, states a request limit no longer, gets its part of the requests") {
+    add_engine("shop-2", "shop", "");
+    state_limit("shop-1", limit);
+    load({10, 10, 10, 10, 10},
+         [] { return gateway_fixture::request("GET", "/plain/x", close_field); });
+    await_limit();
+    stub.set_script("shop-1", engine_script{});
+    CHECK(eventually([this] { return all_have_logged("backend.limit.lifted"); }));
+    const std::size_t before = stub.count("shop-1", "/plain/x");
+    std::this_thread::sleep_for(2s);
+    stop_load();
+    CHECK(stub.count("shop-1", "/plain/x") - before > 2 * 2 * limit);
 }
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -91,6 +91,12 @@
         });
     }
 
+    /// \returns the longest time that a refused caller waited
+    [[nodiscard]] duration slowest_refusal() {
+        const std::lock_guard lock{mutex_};
+        return slowest_refusal_;
+    }
+
 private:
     struct member {
         settings::gateway_settings configured;
@@ -133,17 +139,23 @@
     }
     void send(const member& to, const std::string& bytes) {
         const raw_caller caller{http::parse_endpoint(to.configured.callers).value()};
+        const auto begun = std::chrono::steady_clock::now();
         caller.send(bytes);
         std::string response = caller.receive_all();
         const std::lock_guard lock{mutex_};
+        if (gateway_fixture::status_of(response) == 503) {
+            slowest_refusal_ =
+                std::max(slowest_refusal_, duration{std::chrono::steady_clock::now() - begun});
+        }
         received_.push_back(std::move(response));
     }
 
     std::vector<std::unique_ptr<member>> members_;
     std::vector<std::thread> callers_;
     std::atomic<bool> is_load_stopped_{false};
-    std::mutex mutex_; ///< guards received_
+    std::mutex mutex_; ///< guards the members below
     std::vector<std::string> received_;
+    duration slowest_refusal_{0};
 };
 
 } // namespace cicadahatch::test_support
