Divide shared limits by the daemons of before an outage until they are back

What callers and servers would see: while the store is away, or after it, the registrations of daemons may have expired. Each daemon then counted few daemons or none and used the whole request limit and the whole retry rate of a service until the others had renewed their registration, up to 5 s later.

Change: a smaller number of daemons takes effect after 10 s, twice the interval of renewals; a larger one at once (scheduling/daemon_count). Used for request limits and retry budgets. Metrics and log lines hold both numbers.

Why it works: every daemon that lives and reaches the store is back in the list before the smaller number takes effect; one that doesn't reach it keeps its old list. Cost: after a real loss of daemons the shares are too small for 10 s.

--- a/src/forwarding/exchange.cpp
+++ b/src/forwarding/exchange.cpp
@@ -71,7 +71,7 @@
                           const response_metadata& metadata, time_point sent_at) {
     auto& load = balancing::load_of(state.loads, backend.id, backend.started);
     const auto& stated = metadata.max_requests_per_second;
-    const bool is_changed = stated ? balancing::state_limit(load, *stated, state.daemon_count,
+    const bool is_changed = stated ? balancing::state_limit(load, *stated, state.daemons.value,
                                                             state.random, state.time.now())
                                    : metadata.is_signed && balancing::lift_limit(load, sent_at);
     if (!is_changed) {
@@ -81,7 +81,7 @@
                     {{"backend", backend.id.str()},
                      {"request", metadata.id.str()},
                      {"requests_per_second", stated.value_or(0)},
-                     {"daemons", state.daemon_count}});
+                     {"daemons", state.daemons.value}});
 }
 
 /// Reads response heads until one matches the request.
--- a/src/forwarding/gateway_state.cpp
+++ b/src/forwarding/gateway_state.cpp
@@ -10,20 +10,32 @@
         return found->second;
     }
     const auto share = scheduling::budget_share(state.options.retry_ratio,
-                                                state.options.retry_extra, state.daemon_count);
+                                                state.options.retry_extra, state.daemons.value);
     return state.retry_budgets.emplace(service, share).first->second;
 }
 
-void set_daemon_count(gateway_state& state, std::size_t daemons) {
-    state.daemon_count = std::max<std::size_t>(1, daemons);
+void update_retry_budgets(gateway_state& state) {
     for (auto& [service, budget] : state.retry_budgets) {
         const double old_tokens = budget.tokens;
         budget = scheduling::budget_share(state.options.retry_ratio, state.options.retry_extra,
-                                          state.daemon_count);
+                                          state.daemons.value);
         budget.tokens = std::min(old_tokens, budget.max_tokens);
     }
 }
 
+void record_registered_daemons(gateway_state& state, std::size_t registered) {
+    scheduling::record_daemons(state.daemons, registered, state.time.now());
+    update_retry_budgets(state);
+}
+
+void tick_daemon_count(gateway_state& state) {
+    if (!scheduling::update_daemon_count(state.daemons, state.time.now())) {
+        return;
+    }
+    update_retry_budgets(state);
+    state.log.write(logging::weight::notable, "daemons.shares", {{"daemons", state.daemons.value}});
+}
+
 bool mark_leaving(gateway_state& state, const backend_id& id, incarnation started) {
     std::vector<discovery::directory_change> changes;
     if (!state.backends.mark_leaving(id, started, changes)) {
@@ -38,7 +50,7 @@
 void charge_request_limit(gateway_state& state, const discovery::backend& target) {
     auto& load = balancing::load_of(state.loads, target.id, target.started);
     if (load.limit) {
-        balancing::charge_request(*load.limit, state.daemon_count, state.time.now());
+        balancing::charge_request(*load.limit, state.daemons.value, state.time.now());
     }
 }
 
@@ -47,7 +59,7 @@
     const time_point now = state.time.now();
     const duration backoff = std::max(duration{0}, load.backoff_until - now);
     return load.limit ? std::max(backoff, balancing::time_until_allowed(*load.limit,
-                                                                        state.daemon_count, now))
+                                                                        state.daemons.value, now))
                       : backoff;
 }
 
--- a/src/forwarding/gateway_state.hpp
+++ b/src/forwarding/gateway_state.hpp
@@ -12,6 +12,7 @@
 #include "src/metrics/registry.hpp"
 #include "src/metrics/request_recorder.hpp"
 #include "src/routing/route_table.hpp"
+#include "src/scheduling/daemon_count.hpp"
 #include "src/scheduling/retry_budget.hpp"
 
 #include <unordered_map>
@@ -43,7 +44,7 @@
     balancing::load_table loads{};
     connection_pool connections{};
     std::unordered_map<service_id, scheduling::retry_budget> retry_budgets{};
-    std::size_t daemon_count = 1;        ///< registered daemons, including this one
+    scheduling::daemon_count daemons{};  ///< that share limits, including this one
     std::vector<daemon_id> daemon_ids{}; ///< identifiers of the registered daemons
     random_source random{0};
     std::size_t buffered_bytes = 0;
@@ -59,8 +60,15 @@
 [[nodiscard]] scheduling::retry_budget& retry_budget_of(gateway_state& state,
                                                         const service_id& service);
 
-/// \brief Sets the number of daemons and adjusts the shares of the retry budgets to it.
-void set_daemon_count(gateway_state& state, std::size_t daemons);
+/// \brief Adjusts the shares of the retry budgets to the number of daemons and to the options.
+void update_retry_budgets(gateway_state& state);
+
+/// \brief Records the number of registered daemons and adjusts this daemon's shares to it.
+void record_registered_daemons(gateway_state& state, std::size_t registered);
+
+/// \brief Lets a smaller number of daemons take effect when it is due. Called several times a
+/// second.
+void tick_daemon_count(gateway_state& state);
 
 /// \returns the backend servers of a service that accept new work from this daemon
 [[nodiscard]] std::vector<const discovery::backend*> available_backends(gateway_state& state,
--- a/src/gateway/internal/gateway_daemon_impl.cpp
+++ b/src/gateway/internal/gateway_daemon_impl.cpp
@@ -284,7 +284,9 @@
     set_gauge("cicadahatch_backends_limited",
               "Backend servers that state how many requests they take",
               static_cast<std::size_t>(limited));
-    set_gauge("cicadahatch_daemons", "Daemons registered in the store", state_.daemon_count);
+    set_gauge("cicadahatch_daemons", "Daemons registered in the store", state_.daemons.registered);
+    set_gauge("cicadahatch_daemons_sharing", "Daemons by which shared limits are divided",
+              state_.daemons.value);
     set_gauge("cicadahatch_registry_subscribers",
               "Daemons that hear from this one what it reads from the store",
               publisher_.subscribers());
@@ -348,7 +350,7 @@
     feed_.set_timeout(registry_silence(configured_.bounds));
     subscriber_.set_timeout(registry_silence(configured_.bounds));
     callers_.set_max_size(max_callers(configured_.limits.descriptors));
-    forwarding::set_daemon_count(state_, state_.daemon_count);
+    forwarding::update_retry_budgets(state_);
     log_.write(weight::notable, "settings.reloaded",
                {{"retry_ratio", configured_.bounds.retry_ratio},
                 {"retry_extra", configured_.bounds.retry_extra}});
@@ -371,6 +373,7 @@
     state_.backends.expire(now, changes);
     handle_backend_changes(changes);
     state_.connections.close_expired(now);
+    forwarding::tick_daemon_count(state_);
     home_server_.tick();
     placements_.tick();
     role_controller_.tick();
@@ -428,8 +431,9 @@
         log_.write(weight::notable, "store.unreadable", {{"key", key}});
     }
     if (update.has_daemon_list) {
-        log_.write(weight::notable, "daemons.counted", {{"daemons", update.daemons.size()}});
-        forwarding::set_daemon_count(state_, update.daemons.size());
+        forwarding::record_registered_daemons(state_, update.daemons.size());
+        log_.write(weight::notable, "daemons.counted",
+                   {{"daemons", update.daemons.size()}, {"sharing", state_.daemons.value}});
         state_.daemon_ids.clear();
         for (const discovery::registered_daemon& daemon : update.daemons) {
             state_.daemon_ids.push_back(daemon.id);
--- a/test/support/platform_stub.cpp
+++ b/test/support/platform_stub.cpp
@@ -570,6 +570,19 @@
     parts_->erase("servers/" + id);
 }
 
+void platform_stub::expire_leases() {
+    const std::lock_guard lock{parts_->mutex};
+    std::vector<std::string> expired;
+    for (const auto& [key, item] : parts_->items) {
+        if (item.lease != 0) {
+            expired.push_back(key);
+        }
+    }
+    for (const std::string& key : expired) {
+        parts_->erase(key);
+    }
+}
+
 void platform_stub::put(const std::string& key, const std::string& value) {
     const std::lock_guard lock{parts_->mutex};
     parts_->put(key, value, 0);
--- a/test/support/platform_stub.hpp
+++ b/test/support/platform_stub.hpp
@@ -82,6 +82,8 @@
     /// \brief Rewrites the engine's entry with another state.
     void set_state(const std::string& id, const std::string& state);
     void erase_entry(const std::string& id);
+    /// \brief Erases all keys with a lease, as if the leases had expired.
+    void expire_leases();
     /// \brief Writes any value, as another writer would.
     void put(const std::string& key, const std::string& value);
     void set_store_mode(store_mode mode);
