Count only registered servers as limited; share the set-up of gateways in tests

The gauge counted servers that are gone with the limit they had last stated. Found in reading the change. The tests of one and of several gateways set addresses alike.

--- a/src/gateway/internal/gateway_daemon_impl.cpp
+++ b/src/gateway/internal/gateway_daemon_impl.cpp
@@ -269,6 +269,15 @@
     metric_values_.gauge_of(metrics::metric_name{name}, help).set(static_cast<std::int64_t>(value));
 }
 
+std::size_t gateway_daemon::impl::count_limited_backends() const {
+    const auto& entries = state_.backends.entries();
+    const auto is_limited = [this](const discovery::directory_entry& row) {
+        const balancing::backend_load* load = state_.loads.find(row.id);
+        return load != nullptr && load->started == row.registration.started && load->limit;
+    };
+    return static_cast<std::size_t>(std::count_if(entries.begin(), entries.end(), is_limited));
+}
+
 page gateway_daemon::impl::metrics_page() {
     set_gauge("cicadahatch_ready", "Whether the daemon takes callers", is_ready() ? 1 : 0);
     set_gauge("cicadahatch_requests_running", "Requests in progress", state_.running_requests);
@@ -278,12 +287,8 @@
               state_.connections.size());
     set_gauge("cicadahatch_callers", "Connections of callers", callers_.size());
     set_gauge("cicadahatch_backends", "Backend servers known", state_.backends.entries().size());
-    const auto& loads = state_.loads.rows();
-    const auto limited = std::count_if(loads.begin(), loads.end(),
-                                       [](const auto& row) { return row.limit.has_value(); });
     set_gauge("cicadahatch_backends_limited",
-              "Backend servers that state how many requests they take",
-              static_cast<std::size_t>(limited));
+              "Backend servers that state how many requests they take", count_limited_backends());
     set_gauge("cicadahatch_daemons", "Daemons registered in the store", state_.daemons.registered);
     set_gauge("cicadahatch_daemons_sharing", "Daemons by which shared limits are divided",
               state_.daemons.value);
--- a/src/gateway/internal/gateway_daemon_impl.hpp
+++ b/src/gateway/internal/gateway_daemon_impl.hpp
@@ -40,6 +40,7 @@
     void accept_caller(forwarding::tcp::socket socket);
     [[nodiscard]] page readiness_page(std::string_view path) const;
     [[nodiscard]] page metrics_page();
+    [[nodiscard]] std::size_t count_limited_backends() const;
     void set_gauge(const char* name, const char* help, std::size_t value);
     [[nodiscard]] bool is_ready() const;
     void log_readiness_change();
--- a/test/support/gateway_fixture.hpp
+++ b/test/support/gateway_fixture.hpp
@@ -45,6 +45,17 @@
     return true;
 }
 
+/// Sets the name, the failure domain and free addresses of a gateway before a stub's store.
+inline void set_addresses(settings::gateway_settings& configured, const std::string& name,
+                          const platform_stub& stub) {
+    configured.name = daemon_id{name};
+    configured.domain = domain_id{"a"};
+    configured.callers = free_endpoint();
+    configured.readiness = free_endpoint();
+    configured.peers = free_endpoint();
+    configured.store.address = http::to_string(stub.store());
+}
+
 /// Runs a gateway in this process against a stub of the platform.
 struct gateway_fixture {
     using plain_answer = engine_script::plain_answer;
@@ -77,12 +88,7 @@
     }
 
     void start() {
-        configured.name = daemon_id{"d1"};
-        configured.domain = domain_id{"a"};
-        configured.callers = free_endpoint();
-        configured.readiness = free_endpoint();
-        configured.peers = free_endpoint();
-        configured.store.address = http::to_string(stub.store());
+        set_addresses(configured, "d1", stub);
         configured.bounds.shutdown = 8s;
         configured.bounds.drain = 500ms;
         auto built = gateway::gateway_builder{}
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -113,16 +113,10 @@
 
     void add_member(const std::string& name) {
         auto& added = *members_.emplace_back(std::make_unique<member>());
-        settings::gateway_settings& configured = added.configured;
-        configured.name = daemon_id{name};
-        configured.domain = domain_id{"a"};
-        configured.callers = free_endpoint();
-        configured.readiness = free_endpoint();
-        configured.peers = free_endpoint();
-        configured.store.address = http::to_string(stub.store());
-        configured.bounds.drain = 500ms;
+        set_addresses(added.configured, name, stub);
+        added.configured.bounds.drain = 500ms;
         auto built = gateway::gateway_builder{}
-                         .settings(configured)
+                         .settings(added.configured)
                          .time(time)
                          .lease_time(lease_time)
                          .platform(platform::binding())
