Log the parts of prompts and whether an engine has ended when a stream breaks off

A stream that breaks off before it has sent events for 100 ms is now followed by one connection to its engine: refused means that its process has ended, no answer that it can't be told. The line engine.probed has the outcome and the parts of the prompt, stream.attempt the parts, and cicadahatch_engine_crashes_total counts the ended ones. No decision changes.

--- a/src/forwarding/backend_connection.cpp
+++ b/src/forwarding/backend_connection.cpp
@@ -46,6 +46,7 @@
         const tcp::endpoint remote{address, endpoint.port};
         co_await socket_.async_connect(remote, capture_error(error));
     }
+    was_refused_ = error == asio::error::connection_refused;
     if (error) {
         co_return is_cancelled_ ? errc::cancelled : errc::connect_failed;
     }
--- a/src/forwarding/backend_connection.hpp
+++ b/src/forwarding/backend_connection.hpp
@@ -25,6 +25,9 @@
 
     [[nodiscard]] asio::awaitable<std::error_code> connect(http::endpoint endpoint);
 
+    /// \returns whether the last connect() was refused: no process listens at the endpoint
+    [[nodiscard]] bool was_refused() const noexcept { return was_refused_; }
+
     /// \brief Starts writing a request. The next response read belongs to it.
     void start_request(backend_request outgoing);
 
@@ -75,6 +78,7 @@
     bool has_expired_ = false;
     bool is_cancelled_ = false;
     bool is_broken_ = false;
+    bool was_refused_ = false;
 };
 
 using connection_ptr = std::shared_ptr<backend_connection>;
--- a/src/forwarding/decode_stream.cpp
+++ b/src/forwarding/decode_stream.cpp
@@ -57,9 +57,10 @@
 }
 
 /// Forwards events until the stream ends.
-asio::awaitable<attempt_outcome> relay_events(gateway_state& state, request_context_ptr request,
-                                              caller_connection& caller, connection_ptr connection,
-                                              stream_state& stream) {
+asio::awaitable<decode_attempt> relay_events(gateway_state& state, request_context_ptr request,
+                                             caller_connection& caller, connection_ptr connection,
+                                             stream_state& stream) {
+    const unsigned status = connection->status();
     std::string bytes;
     time_point last_event_at = state.time.now();
     while (!connection->is_response_complete()) {
@@ -70,26 +71,30 @@
         std::string events = stream.events.append(bytes);
         if (!events.empty()) {
             last_event_at = state.time.now();
+            if (stream.attempt_began_at == time_point{}) {
+                stream.attempt_began_at = last_event_at;
+            }
         }
         if (stream.events.partial().size() > max_event_bytes) {
             stream.last_failure = "event without an end";
-            co_return attempt_outcome::broken;
+            co_return decode_attempt{attempt_outcome::broken, status};
         }
         if (!co_await forward_events(state, *request, caller, connection, stream,
                                      std::move(events))) {
             request->end(request_end_reason::caller_left);
-            co_return attempt_outcome::cut;
+            co_return decode_attempt{attempt_outcome::cut, status};
         }
         if (error) {
             stream.last_failure = error.message();
-            co_return attempt_outcome::broken;
+            co_return decode_attempt{attempt_outcome::broken, status,
+                                     error == errc::connection_lost};
         }
     }
     if (!stream.events.partial().empty()) {
         stream.last_failure = "stream ends within an event";
-        co_return attempt_outcome::broken;
+        co_return decode_attempt{attempt_outcome::broken, status, true};
     }
-    co_return attempt_outcome::done;
+    co_return decode_attempt{attempt_outcome::done, status};
 }
 
 /// Reads the rest of a failure response and forwards it as a whole, or classifies it.
@@ -162,6 +167,7 @@
                                            std::optional<finished_prefill> prefill,
                                            stream_state& stream) {
     stream.events.discard_partial();
+    stream.attempt_began_at = {};
     backend_request outgoing = decode_request(state, *request, reservation, prefill, stream);
     const time_point deadline = progress_deadline(*request, state.time.now(), false);
     const open_exchange exchange =
@@ -180,7 +186,9 @@
         if (prefill) {
             release_prefill(state, *prefill);
         }
-        co_return decode_attempt{is_unsent ? attempt_outcome::refused : attempt_outcome::broken, 0};
+        decode_attempt failed{is_unsent ? attempt_outcome::refused : attempt_outcome::broken, 0};
+        failed.is_connection_lost = exchange.error == errc::connection_lost;
+        co_return failed;
     }
     ++stream.sends;
     const connection_ptr connection = exchange.connection;
@@ -198,20 +206,19 @@
         co_return failed;
     }
     stream.execution = execution_state::unknown;
-    const unsigned status = connection->status();
-    const attempt_outcome outcome =
-        co_await relay_events(state, request, caller, connection, stream);
-    if (outcome == attempt_outcome::done && !stream.has_started) {
+    const decode_attempt result = co_await relay_events(state, request, caller, connection, stream);
+    const bool is_done = result.outcome == attempt_outcome::done;
+    if (is_done && !stream.has_started) {
         stream.has_started = true;
         field_map head = connection->head();
         remove_connection_fields(head);
-        co_await caller.begin_stream(status, head);
+        co_await caller.begin_stream(result.status, head);
     }
-    release_connection(state, request, connection, outcome);
-    if (outcome == attempt_outcome::done) {
+    release_connection(state, request, connection, result.outcome);
+    if (is_done) {
         co_await caller.end_stream();
     }
-    co_return decode_attempt{outcome, status};
+    co_return result;
 }
 
 const char* to_string(attempt_outcome outcome) noexcept {
--- a/src/forwarding/stream_forward.cpp
+++ b/src/forwarding/stream_forward.cpp
@@ -1,9 +1,12 @@
 #include "src/forwarding/stream_forward.hpp"
 
 #include "src/forwarding/caller_response.hpp"
+#include "src/forwarding/engine_probe.hpp"
 #include "src/forwarding/stream_state.hpp"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 
 namespace cicadahatch::forwarding {
 
@@ -21,6 +24,9 @@
 constexpr int abandonment_objectives = 4;
 constexpr int abandonment_gaps = 8;
 
+/// Time after its first event for which a stream counts as beginning.
+constexpr std::chrono::milliseconds beginning_duration = 100ms;
+
 /// Fraction of that time within which a first event is still useful.
 constexpr double useful_fraction = 0.75;
 
@@ -31,6 +37,19 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(abandoned * useful_fraction);
 }
 
+/// \returns the hashes of the parts in hexadecimal digits, separated by commas
+std::string format_parts(const std::vector<std::uint64_t>& parts) {
+    std::string text;
+    for (const std::uint64_t part : parts) {
+        std::array<char, 17> digits{}; // NOLINT(readability-magic-numbers): 64 bits and the end
+        std::snprintf(digits.data(), digits.size(), "%016llx",
+                      static_cast<unsigned long long>(part));
+        text += text.empty() ? "" : ",";
+        text += digits.data();
+    }
+    return text;
+}
+
 placement_request make_placement_request(gateway_state& state, const request_context& request) {
     placement_request placement;
     const routing::route& route = request.route();
@@ -101,9 +120,37 @@
                      {"status", result.status},
                      {"events", stream.events.event_count()},
                      {"last_event", stream.events.last_event_id().value_or(0)},
+                     {"parts", format_parts(request.metadata().shared_prompt_parts)},
                      {"reason", stream.last_failure}});
 }
 
+/// Whether the stream was beginning when the engine's response broke off, so that its prompt may
+/// have crashed the engine.
+bool is_crash_suspect(const gateway_state& state, const decode_attempt& result,
+                      const stream_state& stream) {
+    const bool has_begun = stream.attempt_began_at != time_point{};
+    return result.outcome == attempt_outcome::broken && result.is_connection_lost &&
+           (!has_begun || state.time.now() - stream.attempt_began_at < beginning_duration);
+}
+
+/// \returns whether the engine's process has ended, as after a crash
+asio::awaitable<bool> check_engine(gateway_state& state, request_context_ptr request,
+                                   discovery::backend engine) {
+    const process_state found = co_await probe_process(state, engine);
+    if (found == process_state::ended) {
+        state.metric_registry
+            .counter_of(metrics::metric_name{"cicadahatch_engine_crashes_total"},
+                        "Streams that were beginning as their engine's process ended")
+            .add();
+    }
+    state.log.write(logging::weight::notable, "engine.probed",
+                    {{"request", request->metadata().id.str()},
+                     {"backend", engine.id.str()},
+                     {"process", to_string(found)},
+                     {"parts", format_parts(request->metadata().shared_prompt_parts)}});
+    co_return found == process_state::ended;
+}
+
 /// Runs one attempt: reservation, prefill and decode.
 asio::awaitable<decode_attempt> attempt(gateway_state& state, request_context_ptr request,
                                         caller_connection& caller, stream_state& stream) {
@@ -135,6 +182,9 @@
         // Without a finished prefill, the decode engine runs it itself.
         result = co_await run_decode(state, request, caller, *reservation, prefill, stream);
     }
+    if (is_crash_suspect(state, result, stream)) {
+        result.is_engine_down = co_await check_engine(state, request, reservation->engine);
+    }
     record_attempt(state, *request, *reservation, result, stream);
     log_attempt(state, *request, *reservation, prefill, result, stream);
     co_return result;
--- a/src/forwarding/stream_state.hpp
+++ b/src/forwarding/stream_state.hpp
@@ -36,6 +36,7 @@
     bool has_started = false; ///< the response head has been sent to the caller
     bool is_refused = false;  ///< no capacity
     event_splitter events;
+    time_point attempt_began_at; ///< first event of the current attempt; the epoch if none
     std::vector<backend_id> failed_engines; ///< engines that failed during the stream
     std::string last_failure;               ///< reason of the last failure
     std::chrono::milliseconds retry_after{0};
@@ -86,6 +87,8 @@
 struct decode_attempt {
     attempt_outcome outcome = attempt_outcome::refused;
     unsigned status = 0;
+    bool is_connection_lost = false; ///< the engine's response broke off
+    bool is_engine_down = false;     ///< its process has ended while the stream was beginning
 };
 
 /// \brief Sends the request to the decode engine and forwards its events.
--- a/src/forwarding/wire_protocol.hpp
+++ b/src/forwarding/wire_protocol.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cicadahatch::forwarding {
 
@@ -24,6 +25,9 @@
     std::optional<std::uint64_t> last_event;             ///< resumes the stream after this event
     std::uint64_t prompt_key =
         0; ///< hash that is the same when the caller retries; zero if unknown
+    /// Hashes of the prompt's parts that other requests may share, in order. Excludes the last
+    /// part, which belongs to the request or to its session.
+    std::vector<std::uint64_t> shared_prompt_parts;
 };
 
 /// \brief Fields that this daemon adds to a request to a backend server.
--- a/test/platform/wire_test.cpp
+++ b/test/platform/wire_test.cpp
@@ -39,6 +39,26 @@
     CHECK(wire.parse_request(head).prompt_key != metadata.prompt_key);
 }
 
+TEST_CASE_FIXTURE(wire_fixture, "parse_request, parts of the prompt, all but the last are shared") {
+    head.set("X-Cicadahatch-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+    const auto parts = wire.parse_request(head).shared_prompt_parts;
+    REQUIRE(parts.size() == 2);
+    CHECK(parts[0] != parts[1]);
+    head.set("X-Cicadahatch-Prompt-Prefix", "91bd3f06:4,77:1");
+    CHECK(wire.parse_request(head).shared_prompt_parts == std::vector{parts[1]});
+    head.set("X-Cicadahatch-Prompt-Prefix", "77:1");
+    CHECK(wire.parse_request(head).shared_prompt_parts.empty());
+}
+
+TEST_CASE_FIXTURE(wire_fixture, "parse_request, flood of parts, reads a bounded number of them") {
+    std::string parts;
+    for (int part = 0; part < 1000; ++part) {
+        parts += std::to_string(part) + ":1,";
+    }
+    head.set("X-Cicadahatch-Prompt-Prefix", parts + "ff:1");
+    CHECK(wire.parse_request(head).shared_prompt_parts.size() == 64);
+}
+
 TEST_CASE_FIXTURE(wire_fixture, "parse_request, missing or non-numeric fields, uses the defaults") {
     head.set("X-Cicadahatch-Deadline-Ms", "soon");
     head.set("X-Cicadahatch-Token-Usage", "many");
