--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -46,6 +46,22 @@
         REQUIRE(eventually([&] { return all_have_logged("\"" + id + "\""); }));
     }
 
+    /// Starts another gateway.
+    void add_gateway() { add_member("d" + std::to_string(members_.size() + 1)); }
+
+    /// Ends the gateway that is the home of the engines, without a notice to the others.
+    void kill_home() {
+        const auto home = std::find_if(members_.begin(), members_.end(), [](const auto& row) {
+            return !row->is_killed && row->has_logged("home.joined");
+        });
+        REQUIRE(home != members_.end());
+        (*home)->is_killed = true;
+        (*home)->daemon->halt();
+    }
+
+    /// Sends one request to the gateway that was started last.
+    void send_to_newest(const std::string& request) { send(*members_.back(), request); }
+
     [[nodiscard]] bool all_have_logged(const std::string& text) {
         return std::all_of(members_.begin(), members_.end(),
                            [&](const auto& row) { return row->has_logged(text); });
@@ -58,7 +74,7 @@
             const auto period = std::chrono::nanoseconds{1s} / per_second.at(index);
             callers_.emplace_back([this, index, period, request] {
                 auto next = std::chrono::steady_clock::now();
-                while (!is_load_stopped_) {
+                while (!is_load_stopped_ && !members_.at(index)->is_killed) {
                     std::this_thread::sleep_until(next += period);
                     send(*members_.at(index), request());
                 }
@@ -102,6 +118,7 @@
         settings::gateway_settings configured;
         std::unique_ptr<gateway::gateway_daemon> daemon;
         std::thread thread;
+        std::atomic<bool> is_killed{false};
         std::mutex mutex;
         std::string log;
 
--- a/test/support/platform_stub.cpp
+++ b/test/support/platform_stub.cpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <strings.h>
 #include <thread>
 
@@ -62,6 +63,10 @@
 /// Time from the request to the first event.
 constexpr std::chrono::milliseconds first_event_time{5};
 
+/// Open connections; used by the stub's thread only. Outlives the engine: coroutines that serve its
+/// connections are destroyed with the event loop.
+using socket_set = std::shared_ptr<std::set<tcp::socket*>>;
+
 struct stub_engine {
     std::string id;
     std::string service;
@@ -71,6 +76,25 @@
     std::unique_ptr<tcp::acceptor> acceptor;
     std::uint64_t next_handle = 1;
     std::string late_copy; ///< duplicate of a response, sent before the next one
+    std::uint64_t born = 1000;
+    socket_set connections = std::make_shared<std::set<tcp::socket*>>();
+};
+
+/// Adds a socket to a set of open connections for its lifetime.
+class connection_entry {
+public:
+    connection_entry(socket_set& open, tcp::socket& socket) : open_(open), socket_(&socket) {
+        open_->insert(socket_);
+    }
+    connection_entry(const connection_entry&) = delete;
+    connection_entry& operator=(const connection_entry&) = delete;
+    connection_entry(connection_entry&&) = delete;
+    connection_entry& operator=(connection_entry&&) = delete;
+    ~connection_entry() { open_->erase(socket_); }
+
+private:
+    socket_set open_;
+    tcp::socket* socket_;
 };
 
 } // namespace
@@ -87,6 +111,7 @@
     store_mode mode = store_mode::normal;
     std::map<std::string, std::unique_ptr<stub_engine>> engines;
     std::vector<received_request> seen;
+    std::vector<std::chrono::steady_clock::time_point> crash_times;
     std::size_t cancelled = 0;
     std::size_t calls = 0;
 
@@ -120,7 +145,7 @@
                       {"state", engine.state},
                       {"coldLeftMs", 0},
                       {"seq", 1},
-                      {"born", 1000}};
+                      {"born", engine.born}};
         if (!engine.stage.empty()) {
             entry["stage"] = engine.stage;
         }
@@ -405,6 +430,12 @@
                                   "Transfer-Encoding: chunked\r\n\r\n");
         asio::steady_timer pause{loop};
         net_error error;
+        if (holds_crash_part(asked, script)) {
+            pause.expires_after(first_event_time);
+            co_await pause.async_wait(capture_error(error));
+            asio::co_spawn(loop, crash_engine(engine), asio::detached);
+            co_return false;
+        }
         if (script.has_endless_event) {
             co_await send_until_closed(socket, "fffffff\r\ndata: ");
             co_return false;
@@ -487,7 +518,45 @@
         co_return socket.is_open();
     }
 
+    void accept_callers(stub_engine& engine) {
+        accept(*engine.acceptor, [this, &engine](tcp::socket socket) {
+            asio::co_spawn(loop, serve_engine(std::move(socket), engine), asio::detached);
+        });
+    }
+
+    /// Resets all connections, refuses new ones, and serves again after a while.
+    asio::awaitable<void> crash_engine(stub_engine& engine) {
+        if (!engine.acceptor->is_open()) {
+            co_return;
+        }
+        const tcp::endpoint place = engine.acceptor->local_endpoint();
+        engine.acceptor->close();
+        for (tcp::socket* socket : *engine.connections) {
+            reset(*socket);
+        }
+        {
+            const std::lock_guard lock{mutex};
+            crash_times.push_back(std::chrono::steady_clock::now());
+        }
+        asio::steady_timer pause{loop, script_of(engine).crash_duration};
+        net_error ignored;
+        co_await pause.async_wait(capture_error(ignored));
+        const std::lock_guard lock{mutex};
+        engine.acceptor = std::make_unique<tcp::acceptor>(loop, place);
+        ++engine.born;
+        write_entry(engine);
+        accept_callers(engine);
+    }
+
+    /// Whether a request holds the part on which the engine crashes.
+    static bool holds_crash_part(const any_request& asked, const engine_script& script) {
+        const std::string parts = "," + text(asked["X-Cicadahatch-Prompt-Prefix"]);
+        return !script.crash_part.empty() &&
+               parts.find("," + script.crash_part + ":") != std::string::npos;
+    }
+
     asio::awaitable<void> serve_engine(tcp::socket socket, stub_engine& engine) {
+        const connection_entry entry{engine.connections, socket};
         boost::beast::flat_buffer buffer;
         bool goes_on = true;
         while (goes_on) {
@@ -546,13 +615,23 @@
     stub_engine& engine = *made;
     own.engines[id] = std::move(made);
     own.write_entry(engine);
+    asio::post(own.loop, [&own, &engine] { own.accept_callers(engine); });
+}
+
+void platform_stub::crash(const std::string& id) {
+    parts& own = *parts_;
+    const std::lock_guard lock{own.mutex};
+    stub_engine& engine = *own.engines.at(id);
     asio::post(own.loop, [&own, &engine] {
-        own.accept(*engine.acceptor, [&own, &engine](tcp::socket socket) {
-            asio::co_spawn(own.loop, own.serve_engine(std::move(socket), engine), asio::detached);
-        });
+        asio::co_spawn(own.loop, own.crash_engine(engine), asio::detached);
     });
 }
 
+std::vector<std::chrono::steady_clock::time_point> platform_stub::crashes() const {
+    const std::lock_guard lock{parts_->mutex};
+    return parts_->crash_times;
+}
+
 void platform_stub::set_script(const std::string& id, const engine_script& script) {
     const std::lock_guard lock{parts_->mutex};
     parts_->engines.at(id)->script = script;
--- a/test/support/platform_stub.hpp
+++ b/test/support/platform_stub.hpp
@@ -50,6 +50,9 @@
         0; ///< resets the connection once after this many events; zero: never
     bool resets_within_event = false;
     std::chrono::milliseconds event_gap{5};
+    /// Part of a prompt on which a decode engine crashes before its first event; empty: none.
+    std::string crash_part;
+    std::chrono::milliseconds crash_duration{300}; ///< until its process is back
 };
 
 /// \brief A request received by a stub engine.
@@ -82,6 +85,10 @@
     /// \brief Rewrites the engine's entry with another state.
     void set_state(const std::string& id, const std::string& state);
     void erase_entry(const std::string& id);
+    /// \brief Ends the engine's process; it is back after the crash duration of its script.
+    void crash(const std::string& id);
+    /// \returns the times at which engines crashed
+    [[nodiscard]] std::vector<std::chrono::steady_clock::time_point> crashes() const;
     /// \brief Erases all keys with a lease, as if the leases had expired.
     void expire_leases();
     /// \brief Writes any value, as another writer would.
