Refuse prompts with a part that has crashed engines

Change: the home of a pool, which each stream asks for a place, learns from the daemons under which prompts engines have ended while a stream was beginning, and from first events which parts are sound. A part that was in two crashes and is not cleared is refused at once with 503, not run, and the time of its next trial. Daemons pass on what they know to the next home.

--- a/src/cells/cell_messages.cpp
+++ b/src/cells/cell_messages.cpp
@@ -98,6 +98,24 @@
     return record;
 }
 
+suspect_part to_suspect(const rpc::crashing_part& known, time_point now) {
+    suspect_part suspect;
+    suspect.crashes = known.crashes;
+    suspect.common = to_prompt_parts(known.common);
+    suspect.next_trial_at = now + known.until_trial;
+    return suspect;
+}
+
+rpc::crashing_parts to_message(const crash_suspects& suspects, time_point now) {
+    rpc::crashing_parts message;
+    for (const auto& [part, suspect] : suspects.parts) {
+        const duration until_trial = std::max(duration{0}, suspect.next_trial_at - now);
+        message.parts.push_back({part, suspect.crashes, suspect.common,
+                                 std::chrono::ceil<std::chrono::milliseconds>(until_trial)});
+    }
+    return message;
+}
+
 scheduling::live_grant to_live_grant(const daemon_id& owner, const rpc::grant_record& record,
                                      time_point now) {
     scheduling::live_grant live;
--- a/src/cells/home.cpp
+++ b/src/cells/home.cpp
@@ -74,12 +74,14 @@
                   [now](const auto& row) { return now - row.second > refusal_retention; });
 }
 
-void home::refuse(const daemon_id& owner, const rpc::acquire& request, rpc::refusal_reason reason) {
+void home::refuse(const daemon_id& owner, const rpc::acquire& request, rpc::refusal_reason reason,
+                  std::chrono::milliseconds retry_after) {
     rpc::refused answer;
     answer.request = request.request;
     answer.attempt = request.attempt;
     answer.cell = request.cell;
     answer.reason = reason;
+    answer.retry_after = retry_after;
     outbox_.push_back({owner, answer});
 }
 
@@ -87,6 +89,11 @@
     if (is_leaving_) {
         return refuse(from, request, rpc::refusal_reason::leaving);
     }
+    const auto blocked = check_prompt(suspects_, request.request,
+                                      to_prompt_parts(request.prompt_parts), time_.now());
+    if (blocked) {
+        return refuse(from, request, rpc::refusal_reason::crashes_engines, blocked->retry_after);
+    }
     scheduling::cell_state& cell = find_or_create(request.cell);
     const request_id key = attempt_key(request.request, request.attempt);
     if (const scheduling::live_grant* live = cell.grants.find(key)) {
@@ -115,8 +122,14 @@
 
 void home::on(const daemon_id& /*from*/, const rpc::release& release) {
     if (scheduling::cell_state* cell = find(release.cell)) {
-        scheduling::release(*cell, policy_, attempt_key(release.request, release.attempt),
-                            to_outcome(release.outcome), release.output_tokens, time_.now());
+        const request_id key = attempt_key(release.request, release.attempt);
+        const backend_id engine = decode_engine_of(*cell, key);
+        if (release.outcome == rpc::release_outcome::engine_crashed && !engine.empty()) {
+            record_crash(suspects_, engine, release.request, to_prompt_parts(release.prompt_parts),
+                         time_.now());
+        }
+        scheduling::release(*cell, policy_, key, to_outcome(release.outcome), release.output_tokens,
+                            time_.now());
     }
 }
 
@@ -129,7 +142,10 @@
 
 void home::on(const daemon_id& /*from*/, const rpc::first_token& event) {
     if (scheduling::cell_state* cell = find(event.cell)) {
-        scheduling::first_token(*cell, attempt_key(event.request, event.attempt), time_.now());
+        const request_id key = attempt_key(event.request, event.attempt);
+        scheduling::first_token(*cell, key, time_.now());
+        record_beginning(suspects_, decode_engine_of(*cell, key),
+                         to_prompt_parts(event.prompt_parts), time_.now());
     }
 }
 
@@ -140,6 +156,10 @@
     for (const rpc::grant_record& record : registration.grants) {
         scheduling::register_grant(cell, to_live_grant(from, record, now), now);
         registered.insert(attempt_key(record.request, record.attempt));
+        if (record.stage == rpc::grant_stage::decoding) {
+            record_beginning(suspects_, record.decode_backend, to_prompt_parts(record.prompt_parts),
+                             now);
+        }
     }
     if (registration.is_last) {
         release_unregistered(cell, from);
@@ -148,6 +168,18 @@
     }
 }
 
+void home::on(const daemon_id& /*from*/, const rpc::crashing_parts& known) {
+    const time_point now = time_.now();
+    for (const rpc::crashing_part& row : known.parts) {
+        merge_suspect(suspects_, row.part, to_suspect(row, now), now);
+    }
+}
+
+backend_id home::decode_engine_of(const scheduling::cell_state& cell, const request_id& key) {
+    const scheduling::live_grant* grant = cell.grants.find(key);
+    return grant == nullptr ? backend_id{} : grant->issued.decode;
+}
+
 void home::release_unregistered(scheduling::cell_state& cell, const daemon_id& owner) {
     // Their release was sent while the owner was not connected, or the owner never received the
     // grant.
@@ -223,6 +255,7 @@
 void home::tick() {
     const time_point now = time_.now();
     expire_refusals(now);
+    update_suspects(suspects_, now);
     for (auto& [id, cell] : cells_) {
         const scheduling::tick_output output = scheduling::tick(cell, policy_, now);
         for (const scheduling::grant& grant : output.grants) {
@@ -245,6 +278,17 @@
     return std::exchange(refusals_, {});
 }
 
+std::vector<suspect_event> home::take_suspect_events() {
+    return std::exchange(suspects_.events, {});
+}
+
+std::optional<rpc::crashing_parts> home::take_changed_suspects() {
+    if (!std::exchange(suspects_.is_changed, false)) {
+        return std::nullopt;
+    }
+    return to_message(suspects_, time_.now());
+}
+
 bool home::has_waiting() const {
     return std::any_of(cells_.begin(), cells_.end(),
                        [](const auto& row) { return !row.second.waiting.empty(); });
--- a/src/cells/home.hpp
+++ b/src/cells/home.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "src/cells/crash_suspects.hpp"
 #include "src/core/clock.hpp"
 #include "src/rpc/messages.hpp"
 #include "src/scheduling/cell_policy.hpp"
@@ -76,6 +77,15 @@
     /// \returns the refusals since the last call, for logging
     [[nodiscard]] std::vector<refused_request> take_refusals();
 
+    /// \returns the changes of belief about prompts that crash engines, and the refusals because of
+    /// them, since the last call, for logging
+    [[nodiscard]] std::vector<suspect_event> take_suspect_events();
+
+    /// \returns what is known of prompts that crash engines if it has changed since the last call
+    [[nodiscard]] std::optional<rpc::crashing_parts> take_changed_suspects();
+
+    [[nodiscard]] const crash_suspects& suspects() const { return suspects_; }
+
     /// \returns whether any request is waiting, so that tick() must be called soon
     [[nodiscard]] bool has_waiting() const;
     /// \returns whether a request of that daemon is waiting
@@ -89,6 +99,10 @@
     void on(const daemon_id& from, const rpc::prefill_finished& event);
     void on(const daemon_id& from, const rpc::first_token& event);
     void on(const daemon_id& from, const rpc::register_grants& registration);
+    void on(const daemon_id& from, const rpc::crashing_parts& known);
+    /// \returns the decode engine of a grant; empty if the grant is unknown
+    [[nodiscard]] static backend_id decode_engine_of(const scheduling::cell_state& cell,
+                                                     const request_id& key);
     [[nodiscard]] scheduling::cell_state& find_or_create(const cell_id& cell);
     [[nodiscard]] scheduling::cell_state* find(const cell_id& cell);
     void release_unregistered(scheduling::cell_state& cell, const daemon_id& owner);
@@ -96,7 +110,8 @@
     [[nodiscard]] rpc::acquire demote_if_resubmitted(const rpc::acquire& request) const;
     void record_refusal(const request_id& key);
     void expire_refusals(time_point now);
-    void refuse(const daemon_id& owner, const rpc::acquire& request, rpc::refusal_reason reason);
+    void refuse(const daemon_id& owner, const rpc::acquire& request, rpc::refusal_reason reason,
+                std::chrono::milliseconds retry_after = {});
 
     const clock& time_;
     scheduling::cell_policy policy_;
@@ -107,6 +122,7 @@
     std::map<daemon_id, std::set<request_id>> registering_; ///< grants registered so far, by daemon
     std::unordered_map<request_id, std::uint64_t> prompt_keys_; ///< of waiting requests
     std::unordered_map<std::uint64_t, time_point> refused_at_;  ///< by prompt key
+    crash_suspects suspects_;
     bool is_leaving_ = false;
 };
 
--- a/src/cells/wire_conversions.cpp
+++ b/src/cells/wire_conversions.cpp
@@ -33,6 +33,7 @@
     case rpc::release_outcome::prefill_failed:
         return scheduling::outcome::prefill_failed;
     case rpc::release_outcome::decode_failed:
+    case rpc::release_outcome::engine_crashed:
         return scheduling::outcome::decode_failed;
     case rpc::release_outcome::caller_left:
         return scheduling::outcome::caller_left;
--- a/src/forwarding/placement_service.hpp
+++ b/src/forwarding/placement_service.hpp
@@ -49,7 +49,8 @@
     caller_left,
     prefill_failed,
     decode_failed,
-    no_room ///< the engine refused the reservation
+    no_room,       ///< the engine refused the reservation
+    engine_crashed ///< the decode engine's process ended while the stream was beginning
 };
 
 /// \brief Assigns engines to streams, coordinated over all daemons of a pool.
--- a/src/forwarding/stream_forward.cpp
+++ b/src/forwarding/stream_forward.cpp
@@ -5,8 +5,6 @@
 #include "src/forwarding/stream_state.hpp"
 
 #include <algorithm>
-#include <array>
-#include <cstdio>
 
 namespace cicadahatch::forwarding {
 
@@ -37,19 +35,6 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(abandoned * useful_fraction);
 }
 
-/// \returns the hashes of the parts in hexadecimal digits, separated by commas
-std::string format_parts(const std::vector<std::uint64_t>& parts) {
-    std::string text;
-    for (const std::uint64_t part : parts) {
-        std::array<char, 17> digits{}; // NOLINT(readability-magic-numbers): 64 bits and the end
-        std::snprintf(digits.data(), digits.size(), "%016llx",
-                      static_cast<unsigned long long>(part));
-        text += text.empty() ? "" : ",";
-        text += digits.data();
-    }
-    return text;
-}
-
 placement_request make_placement_request(gateway_state& state, const request_context& request) {
     placement_request placement;
     const routing::route& route = request.route();
@@ -60,12 +45,16 @@
     return placement;
 }
 
-placement_outcome to_placement_outcome(const request_context& request, attempt_outcome outcome) {
+placement_outcome to_placement_outcome(const request_context& request,
+                                       const decode_attempt& result) {
+    if (result.is_engine_down) {
+        return placement_outcome::engine_crashed;
+    }
     if (request.end_reason() == request_end_reason::caller_left ||
-        outcome == attempt_outcome::cut) {
+        result.outcome == attempt_outcome::cut) {
         return placement_outcome::caller_left;
     }
-    switch (outcome) {
+    switch (result.outcome) {
     case attempt_outcome::done:
         return placement_outcome::completed;
     case attempt_outcome::refused:
@@ -99,7 +88,7 @@
     if (reservation.is_granted) {
         const bool is_done = result.outcome == attempt_outcome::done;
         state.placements->on_attempt_ended(request, stream.placement,
-                                           to_placement_outcome(request, result.outcome),
+                                           to_placement_outcome(request, result),
                                            is_done ? count_generated_tokens(request, stream) : 0);
     }
 }
@@ -120,7 +109,7 @@
                      {"status", result.status},
                      {"events", stream.events.event_count()},
                      {"last_event", stream.events.last_event_id().value_or(0)},
-                     {"parts", format_parts(request.metadata().shared_prompt_parts)},
+                     {"parts", logging::format_hashes(request.metadata().shared_prompt_parts)},
                      {"reason", stream.last_failure}});
 }
 
@@ -147,7 +136,7 @@
                     {{"request", request->metadata().id.str()},
                      {"backend", engine.id.str()},
                      {"process", to_string(found)},
-                     {"parts", format_parts(request->metadata().shared_prompt_parts)}});
+                     {"parts", logging::format_hashes(request->metadata().shared_prompt_parts)}});
     co_return found == process_state::ended;
 }
 
--- a/src/gateway/home_server.cpp
+++ b/src/gateway/home_server.cpp
@@ -1,5 +1,6 @@
 #include "src/gateway/home_server.hpp"
 
+#include "src/cells/cell_messages.hpp"
 #include "src/cells/wire_conversions.hpp"
 #include "src/forwarding/exchange.hpp"
 #include "src/gateway/cell_configuration.hpp"
@@ -66,6 +67,9 @@
                      {{"peer", peer.str()}});
     if (!is_superseded) {
         known = from;
+        if (!home_.suspects().parts.empty()) {
+            from->send({cells::to_message(home_.suspects(), state_.time.now())});
+        }
     }
     if (replaced) {
         replaced->close();
@@ -201,10 +205,34 @@
     }
 }
 
+void home_server::log_suspects() {
+    for (const cells::suspect_event& row : home_.take_suspect_events()) {
+        state_.log.write(logging::weight::notable, "prompt.suspect",
+                         {{"change", cells::to_string(row.kind)},
+                          {"part", logging::format_hashes({row.part})},
+                          {"crashes", row.crashes},
+                          {"common_parts", row.common_parts},
+                          {"backend", row.engine.str()},
+                          {"request", row.request.str()}});
+    }
+}
+
+void home_server::publish_suspects() {
+    const auto changed = home_.take_changed_suspects();
+    if (!changed) {
+        return;
+    }
+    for (const auto& [daemon, channel] : channel_by_daemon_) {
+        channel->send({*changed});
+    }
+}
+
 void home_server::run() {
     last_run_at_ = state_.time.now();
     home_.tick();
     log_refused_requests();
+    log_suspects();
+    publish_suspects();
     std::map<daemon_id, std::vector<rpc::message>> by_receiver;
     for (cells::outgoing_message& message : home_.take_messages()) {
         by_receiver[message.destination].push_back(std::move(message.payload));
--- a/src/gateway/home_server.hpp
+++ b/src/gateway/home_server.hpp
@@ -57,6 +57,10 @@
     void schedule();
     void run();
     void log_refused_requests();
+    /// Logs what has changed in the knowledge of prompts that crash engines.
+    void log_suspects();
+    /// Sends that knowledge to all daemons if it has changed, so that it outlasts this home.
+    void publish_suspects();
     void send_heartbeats();
     [[nodiscard]] bool has_missing_daemons() const;
     void poll_usage(time_point now);
--- a/src/gateway/internal/gateway_daemon_impl.cpp
+++ b/src/gateway/internal/gateway_daemon_impl.cpp
@@ -301,6 +301,14 @@
     set_gauge("cicadahatch_configuration_version", "Version in force",
               state_.table ? state_.table->version() : 0);
     set_gauge("cicadahatch_log_lines_dropped", "Log lines left out", log_.dropped());
+    const auto& suspects = home_server_.cells().suspects().parts;
+    set_gauge("cicadahatch_prompt_parts_suspected",
+              "Parts of prompts that engines have crashed with, as this home knows",
+              suspects.size());
+    set_gauge("cicadahatch_prompt_parts_blocked", "Suspected parts whose requests are refused",
+              static_cast<std::size_t>(
+                  std::count_if(suspects.begin(), suspects.end(),
+                                [](const auto& row) { return cells::is_blocked(row.second); })));
     for (const auto& [cell, hosted] : home_server_.cells().cells()) {
         set_gauge("cicadahatch_home_waiting", "Requests that wait for a place at this home",
                   hosted.waiting.size());
--- a/src/gateway/placement_client.cpp
+++ b/src/gateway/placement_client.cpp
@@ -1,5 +1,6 @@
 #include "src/gateway/placement_client.hpp"
 
+#include "src/cells/cell_messages.hpp"
 #include "src/cells/wire_conversions.hpp"
 #include "src/gateway/constants.hpp"
 #include "src/scheduling/cell_home.hpp"
@@ -55,6 +56,7 @@
     acquire.late_first_token_target = request.retry_target;
     acquire.prompt_key = metadata.prompt_key;
     acquire.between_tokens_target = token_target(context, request.service);
+    acquire.prompt_parts = metadata.shared_prompt_parts;
     acquire.gives_up_after = duration_cast<microseconds>(context.deadline() - now);
     return acquire;
 }
@@ -71,6 +73,8 @@
         return rpc::release_outcome::decode_failed;
     case placement_outcome::no_room:
         return rpc::release_outcome::no_room;
+    case placement_outcome::engine_crashed:
+        return rpc::release_outcome::engine_crashed;
     }
     return rpc::release_outcome::caller_left;
 }
@@ -177,8 +181,7 @@
     }
     if (home == nullptr) {
         entry->is_answered = true;
-        entry->answer = {
-            placement_response::outcome::unreachable, {}, milliseconds{0}, "no home reached"};
+        entry->answer = answer_without_home(entry->acquire);
         entry->wake_timer->cancel();
         return;
     }
@@ -186,6 +189,23 @@
     home->channel->send({entry->acquire});
 }
 
+placement_response placement_client::answer_without_home(const rpc::acquire& request) {
+    const time_point now = state_.time.now();
+    cells::crash_suspects suspects;
+    for (const rpc::crashing_part& row : suspects_.parts) {
+        cells::merge_suspect(suspects, row.part, cells::to_suspect(row, now), now);
+    }
+    const auto blocked = cells::check_prompt(suspects, request.request,
+                                             cells::to_prompt_parts(request.prompt_parts), now);
+    if (blocked) {
+        return {placement_response::outcome::refused,
+                {},
+                blocked->retry_after,
+                "the prompt crashes engines"};
+    }
+    return {placement_response::outcome::unreachable, {}, milliseconds{0}, "no home reached"};
+}
+
 bool placement_client::is_connecting(const cell_id& cell) const {
     const auto order = homes_of(cell);
     return std::any_of(order.begin(), order.end(), [this](const daemon_id& daemon) {
@@ -228,7 +248,8 @@
 void placement_client::on_first_event(const request_context& context,
                                       const placement_request& request) {
     const cell_id cell = cell_of(request.service);
-    notify_homes(cell, rpc::first_token{context.metadata().id, request.attempt, cell, {}});
+    const auto& parts = context.metadata().shared_prompt_parts;
+    notify_homes(cell, rpc::first_token{context.metadata().id, request.attempt, cell, {}, parts});
     if (const auto entry = find(context.metadata().id, request.attempt)) {
         entry->grant.stage = rpc::grant_stage::decoding;
     }
@@ -244,7 +265,11 @@
                                         std::uint32_t output_tokens) {
     const cell_id cell = cell_of(request.service);
     const request_id& id = context.metadata().id;
-    notify_homes(cell, rpc::release{id, request.attempt, cell, to_outcome(end), output_tokens, {}});
+    rpc::release release{id, request.attempt, cell, to_outcome(end), output_tokens, {}};
+    if (end == placement_outcome::engine_crashed) {
+        release.prompt_parts = context.metadata().shared_prompt_parts;
+    }
+    notify_homes(cell, release);
     entries_.erase(cells::attempt_key(id, request.attempt));
 }
 
@@ -282,6 +307,7 @@
     grant.expected_output_tokens = entry->acquire.expected_output_tokens;
     grant.max_output_tokens = entry->acquire.max_output_tokens;
     grant.kv_pieces = answer.kv_pieces;
+    grant.prompt_parts = entry->acquire.prompt_parts;
     grant.between_tokens_target = entry->acquire.between_tokens_target;
     entry->wake_timer->cancel();
 }
@@ -304,6 +330,10 @@
     entry->wake_timer->cancel();
 }
 
+void placement_client::handle(const daemon_id& /*home*/, const rpc::crashing_parts& known) {
+    suspects_ = known;
+}
+
 void placement_client::on_messages(const daemon_id& home,
                                    const std::vector<rpc::message>& received) {
     for (const rpc::message& message : received) {
@@ -337,6 +367,9 @@
 void placement_client::on_open(const daemon_id& home) {
     state_.log.write(weight::notable, "home.reached", {{"home", home.str()}});
     candidates_.at(home).is_established = true;
+    if (!suspects_.parts.empty()) {
+        candidates_.at(home).channel->send({suspects_});
+    }
     register_grants(home);
     std::vector<entry_ptr> waiting;
     for (const auto& [name, entry] : entries_) {
--- a/src/gateway/placement_client.hpp
+++ b/src/gateway/placement_client.hpp
@@ -76,6 +76,9 @@
     void on_close(const daemon_id& home);
     void handle(const daemon_id& home, const rpc::granted& answer);
     void handle(const daemon_id& home, const rpc::refused& answer);
+    void handle(const daemon_id& home, const rpc::crashing_parts& known);
+    /// \returns the answer to a request if no home can be reached
+    [[nodiscard]] forwarding::placement_response answer_without_home(const rpc::acquire& request);
     void register_grants(const daemon_id& home);
     void send_to_home(const entry_ptr& entry);
     void notify_homes(const cell_id& cell, const rpc::message& message);
@@ -88,6 +91,7 @@
     daemon_id self_;
     std::map<daemon_id, candidate> candidates_;
     std::map<request_id, entry_ptr> entries_; ///< by request and attempt
+    rpc::crashing_parts suspects_; ///< as last received from a home; a new home is told them
     /// Cache of the homes per cell; cleared when the daemons change.
     mutable std::map<cell_id, std::vector<daemon_id>> homes_by_cell_;
 };
--- a/src/logging/event_log.cpp
+++ b/src/logging/event_log.cpp
@@ -1,6 +1,9 @@
 #include "src/logging/event_log.hpp"
 
+#include <array>
+#include <cinttypes>
 #include <climits>
+#include <cstdio>
 #include <nlohmann/json.hpp>
 #include <poll.h>
 #include <unistd.h>
@@ -21,6 +24,17 @@
 
 } // namespace
 
+std::string format_hashes(const std::vector<std::uint64_t>& hashes) {
+    std::string text;
+    for (const std::uint64_t hash : hashes) {
+        std::array<char, 17> digits{}; // NOLINT(readability-magic-numbers): 64 bits and the end
+        std::snprintf(digits.data(), digits.size(), "%016" PRIx64, hash);
+        text += text.empty() ? "" : ",";
+        text += digits.data();
+    }
+    return text;
+}
+
 event_log::event_log(const clock& time, std::string daemon, log_limits limits, output out)
     : time_(time), daemon_(std::move(daemon)), limits_(limits),
       out_(std::move(out)), lines_{limits.lines_per_second, limits.burst_lines, limits.burst_lines,
--- a/src/logging/event_log.hpp
+++ b/src/logging/event_log.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace cicadahatch::logging {
 
@@ -32,6 +33,9 @@
         : name(field_name), value(static_cast<std::int64_t>(number)) {}
 };
 
+/// \returns 64-bit hashes as hexadecimal digits, separated by commas
+[[nodiscard]] std::string format_hashes(const std::vector<std::uint64_t>& hashes);
+
 /// \brief How much a line matters when not all can be written.
 enum class weight : std::uint8_t {
     routine, ///< of work that goes as it should; the first to be left out
--- a/src/rpc/internal/message_fields.hpp
+++ b/src/rpc/internal/message_fields.hpp
@@ -38,7 +38,8 @@
                       &acquire::prompt_key,
                       &acquire::late_first_token_target,
                       &acquire::level,
-                      &acquire::avoided};
+                      &acquire::avoided,
+                      &acquire::prompt_parts};
 }
 
 constexpr auto fields_of(tag<granted>) {
@@ -67,12 +68,13 @@
 
 constexpr auto fields_of(tag<first_token>) {
     return std::tuple{&first_token::request, &first_token::attempt, &first_token::cell,
-                      &first_token::since_grant};
+                      &first_token::since_grant, &first_token::prompt_parts};
 }
 
 constexpr auto fields_of(tag<release>) {
-    return std::tuple{&release::request, &release::attempt,       &release::cell,
-                      &release::outcome, &release::output_tokens, &release::between_tokens};
+    return std::tuple{&release::request,     &release::attempt,       &release::cell,
+                      &release::outcome,     &release::output_tokens, &release::between_tokens,
+                      &release::prompt_parts};
 }
 
 constexpr auto fields_of(tag<withdraw>) {
@@ -97,7 +99,8 @@
                       &grant_record::between_tokens_target,
                       &grant_record::age,
                       &grant_record::generated_tokens,
-                      &grant_record::max_output_tokens};
+                      &grant_record::max_output_tokens,
+                      &grant_record::prompt_parts};
 }
 
 constexpr auto fields_of(tag<register_grants>) {
@@ -168,15 +171,24 @@
                       &registry_look::settling};
 }
 
+constexpr auto fields_of(tag<crashing_part>) {
+    return std::tuple{&crashing_part::part, &crashing_part::crashes, &crashing_part::common,
+                      &crashing_part::until_trial};
+}
+
+constexpr auto fields_of(tag<crashing_parts>) {
+    return std::tuple{&crashing_parts::parts};
+}
+
 /// \brief The largest enumerator of each enumeration that travels; larger numbers are malformed.
 constexpr auto last_enumerator(tag<rank>) {
     return rank::deferrable;
 }
 constexpr auto last_enumerator(tag<refusal_reason>) {
-    return refusal_reason::leaving;
+    return refusal_reason::crashes_engines;
 }
 constexpr auto last_enumerator(tag<release_outcome>) {
-    return release_outcome::no_room;
+    return release_outcome::engine_crashed;
 }
 constexpr auto last_enumerator(tag<grant_stage>) {
     return grant_stage::decoding;
--- a/src/rpc/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -34,7 +34,8 @@
     /// Target of a caller that comes back, too late for the one above; zero: the same.
     std::chrono::microseconds late_first_token_target{};
     std::uint8_t level = 0; ///< order among the requests of its service and rank; 0 goes first
-    std::vector<backend_id> avoided{}; ///< engines that the sender can't use now
+    std::vector<backend_id> avoided{};         ///< engines that the sender can't use now
+    std::vector<std::uint64_t> prompt_parts{}; ///< hashes of the parts that other prompts may share
 };
 
 /// \brief The home's answer: what is reserved for the request.
@@ -63,7 +64,8 @@
     retry_budget_spent,
     registration_pending, ///< a new home that gathers the live grants
     not_home,             ///< the daemon asked is not the home of that cell
-    leaving               ///< the daemon asked shuts down
+    leaving,              ///< the daemon asked shuts down
+    crashes_engines       ///< engines have crashed under prompts with the same part
 };
 
 /// \brief The home's answer: no grant.
@@ -91,6 +93,7 @@
     attempt_number attempt;
     cell_id cell;
     std::chrono::microseconds since_grant{};
+    std::vector<std::uint64_t> prompt_parts{}; ///< see acquire
 };
 
 /// \brief How an attempt ended.
@@ -99,8 +102,9 @@
     caller_left,
     prefill_failed,
     decode_failed,
-    superseded, ///< another attempt took its place
-    no_room     ///< the decode engine had less room than the home knew of
+    superseded,    ///< another attempt took its place
+    no_room,       ///< the decode engine had less room than the home knew of
+    engine_crashed ///< the decode engine's process ended while the stream was beginning
 };
 
 /// \brief Gives a grant back.
@@ -111,6 +115,7 @@
     release_outcome outcome = release_outcome::completed;
     std::uint32_t output_tokens = 0;
     std::chrono::microseconds between_tokens{}; ///< mean; zero if there were fewer than two
+    std::vector<std::uint64_t> prompt_parts{};  ///< see acquire; with engine_crashed only
 };
 
 /// \brief The caller has left before there was an answer from the home.
@@ -142,7 +147,8 @@
     std::chrono::microseconds between_tokens_target{};
     std::chrono::milliseconds age{};
     std::uint32_t generated_tokens = 0;
-    std::uint32_t max_output_tokens = 0; ///< zero: not known
+    std::uint32_t max_output_tokens = 0;       ///< zero: not known
+    std::vector<std::uint64_t> prompt_parts{}; ///< see acquire
 };
 
 /// \brief Tells a new home all live grants that the sender holds in a cell.
@@ -272,10 +278,23 @@
     std::chrono::milliseconds settling{};
 };
 
+/// \brief A part of prompts that engines have crashed with; see cells::suspect_part.
+struct crashing_part {
+    std::uint64_t part = 0;
+    std::uint32_t crashes = 0;
+    std::vector<std::uint64_t> common;
+    std::chrono::milliseconds until_trial{};
+};
+
+/// \brief All that a home knows of parts that crash engines. The daemons pass it to a new home.
+struct crashing_parts {
+    std::vector<crashing_part> parts;
+};
+
 /// \brief Any message. A message's number on the wire is its place here: append at the end only.
 using message = std::variant<acquire, granted, refused, prefill_finished, first_token, release,
                              withdraw, register_grants, copy_grants, request_registration, gossip,
                              sync_request, sync_reply, fetch_configuration, configuration_shard,
-                             engine_leaving, registry_look>;
+                             engine_leaving, registry_look, crashing_parts>;
 
 } // namespace cicadahatch::rpc
--- a/src/serving/grant_broker.cpp
+++ b/src/serving/grant_broker.cpp
@@ -43,6 +43,7 @@
     case rpc::refusal_reason::registration_pending:
     case rpc::refusal_reason::not_home:
     case rpc::refusal_reason::leaving:
+    case rpc::refusal_reason::crashes_engines:
         told.code = errc::overloaded;
         break;
     }
--- a/test/cells/home_test.cpp
+++ b/test/cells/home_test.cpp
@@ -228,3 +228,40 @@
     CHECK(grants() == 0);
     CHECK(is_granted(first_daemon, "r2"));
 }
+
+TEST_CASE_FIXTURE(home_fixture,
+                  "prompt, engines have crashed with its part, is refused at once and told when") {
+    rpc::acquire harmful = request("r1");
+    harmful.prompt_parts = {1, 666};
+    for (const char* id : {"r1", "r2"}) {
+        harmful.request = request_id{id};
+        const auto granted = submit(first_daemon, harmful);
+        REQUIRE(granted);
+        REQUIRE(std::holds_alternative<rpc::granted>(*granted));
+        cell_home.handle(first_daemon, rpc::release{harmful.request,
+                                                    attempt_number{1},
+                                                    cell,
+                                                    rpc::release_outcome::engine_crashed,
+                                                    0,
+                                                    {},
+                                                    harmful.prompt_parts});
+        time.advance(2s);
+        cell_home.renew(first_daemon);
+    }
+    harmful.request = request_id{"r3"};
+    const auto answer = submit(second_daemon, harmful);
+    REQUIRE(answer);
+    REQUIRE(std::holds_alternative<rpc::refused>(*answer));
+    CHECK(std::get<rpc::refused>(*answer).reason == rpc::refusal_reason::crashes_engines);
+    CHECK(std::get<rpc::refused>(*answer).retry_after > 0ms);
+    const auto known = cell_home.take_changed_suspects();
+    REQUIRE(known);
+    home next_home{time, make_policy(), [this](const cell_id&) { return topology; }};
+    next_home.handle(second_daemon, *known);
+    harmful.request = request_id{"r4"};
+    next_home.handle(second_daemon, harmful);
+    next_home.tick();
+    const auto messages = next_home.take_messages();
+    REQUIRE(messages.size() == 1);
+    CHECK(std::holds_alternative<rpc::refused>(messages.front().payload));
+}
--- a/test/rpc/batch_test.cpp
+++ b/test/rpc/batch_test.cpp
@@ -64,12 +64,13 @@
                 77,
                 1600ms,
                 2,
-                {backend_id{"x"}}},
+                {backend_id{"x"}},
+                {25, 26}},
         granted{request, attempt, cell, 8, backend_id{"p"}, backend_id{"q"}, 4, 5, 7us, 8us},
         refused{request, attempt, cell, refusal_reason::not_home, 20ms, daemon_id{"h"}},
         prefill_finished{request, attempt, cell, 6, 9us},
-        first_token{request, attempt, cell, 10us},
-        release{request, attempt, cell, release_outcome::superseded, 11, 12us},
+        first_token{request, attempt, cell, 10us, {27}},
+        release{request, attempt, cell, release_outcome::engine_crashed, 11, 12us, {28}},
         withdraw{request, attempt, cell},
         register_grants{cell, {some_grant()}, false},
         copy_grants{cell, 13, true, {some_grant()}, {request}},
@@ -89,7 +90,8 @@
                       revision{23},
                       {{"k", std::string("\x00\xff", 2), revision{22}, false},
                        {"gone", "", revision{23}, true}},
-                      24ms}};
+                      24ms},
+        crashing_parts{{{29, 30, {29, 31}, 32ms}}}};
     return sent;
 }
 
