--- a/test/platform/entries_test.cpp
+++ b/test/platform/entries_test.cpp
@@ -2,6 +2,7 @@
 #include "test/support/platform_stub.hpp"
 
 #include <doctest/doctest.h>
+#include <sys/resource.h>
 
 namespace {
 
@@ -97,3 +98,52 @@
     CHECK_FALSE(replace("\"slots\":64", "\"slots\":\"x\""));
     CHECK_FALSE(replace("\"zone\":\"a\",", ""));
 }
+
+TEST_CASE("read_backend, numbers that are no count or time, returns nothing") {
+    const auto with = [](const std::string& slots, const std::string& born) {
+        return std::string{R"({"service":"s","address":"10.0.0.9:8080","zone":"a","slots":)"} +
+               slots + R"(,"state":"ready","stage":"decode","born":)" + born + "}";
+    };
+    REQUIRE(read_backend(with("64", "1000")));
+    for (const std::string slots :
+         {"-1", "4294967296", "18446744073709551616", "1e300", "1e400", "6.5", "\"6\"", "null"}) {
+        CAPTURE(slots);
+        CHECK_FALSE(read_backend(with(slots, "1000")));
+    }
+    for (const std::string born :
+         {"-1", "1e300", "1e400", "18446744073709551616", "0.5", "\"1\""}) {
+        CAPTURE(born);
+        CHECK_FALSE(read_backend(with("64", born)));
+    }
+}
+
+TEST_CASE("read_backend, port out of range, returns nothing") {
+    for (const std::string port : {"0", "65536", "-1", "99999999999999999999", "", "8080x"}) {
+        CAPTURE(port);
+        CHECK_FALSE(read_backend(std::string{R"({"service":"s","address":"10.0.0.9:)"} + port +
+                                 R"(","zone":"a","slots":6,"state":"ready"})"));
+    }
+}
+
+TEST_CASE("read_backend, names longer than those that daemons exchange, returns nothing") {
+    const std::string name(129, 'x');
+    CHECK_FALSE(platform::read_backend(make_entry("servers/" + name, valid_entry)));
+    CHECK_FALSE(platform::read_backend(make_entry("servers/", valid_entry)));
+    CHECK_FALSE(read_backend(R"({"service":"s","address":"10.0.0.9:80","slots":6,"state":"ready",)"
+                             R"("zone":")" +
+                             name + R"("})"));
+}
+
+TEST_CASE("read_backend, deeply nested entry of the largest size, takes little memory") {
+    constexpr std::size_t largest_value = 1'048'576; // bytes; the platform's limit
+    constexpr long allowed_growth = 16 * 1024;       // KB; a fraction of the smallest VM
+    rusage before{};
+    rusage after{};
+    getrusage(RUSAGE_SELF, &before);
+    const std::string opening(largest_value / 2 - 100, '[');
+    const std::string closing(opening.size(), ']');
+    CHECK_FALSE(read_backend(R"({"service":"s","zone":)" + opening + closing + "}"));
+    CHECK_FALSE(read_backend(opening + opening));
+    getrusage(RUSAGE_SELF, &after);
+    CHECK(after.ru_maxrss - before.ru_maxrss < allowed_growth);
+}
--- a/test/platform/wire_test.cpp
+++ b/test/platform/wire_test.cpp
@@ -141,3 +141,17 @@
     CHECK(wire.parse_prefill(R"({"kvHandle":"k","tokens":5,"version":1})")->handle == "k");
     CHECK_FALSE(wire.parse_prefill(R"({"tokens":5})"));
 }
+
+TEST_CASE_FIXTURE(wire_fixture, "engine's answers, deeply nested or huge, are bad responses") {
+    const std::string opening(200'000, '[');
+    const std::string closing(opening.size(), ']');
+    const std::string nested = opening + closing;
+    CHECK_FALSE(wire.parse_hold(R"({"hold":)" + nested + "}"));
+    CHECK_FALSE(wire.parse_prefill(R"({"kvHandle":)" + nested + "}"));
+    CHECK_FALSE(wire.parse_hold(R"({"hold":[1]})"));
+    CHECK_FALSE(wire.parse_hold(R"({"hold":null})"));
+    CHECK(wire.parse_hold(R"({"hold":7})").value() == "7");
+    CHECK_FALSE(wire.parse_report(R"({"running":1e300,"kvUsed":0})"));
+    CHECK_FALSE(wire.parse_report(R"({"running":-1,"kvUsed":0})"));
+    CHECK_FALSE(wire.parse_report(R"({"running":1,"kvUsed":0,"seq":1e300})"));
+}
