Take no response without an identifier for the answer on a reused connection

Report of other operators: a faulty engine wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that an engine had run or was running. It can happen here: a refusal of a call that bears no identifier, such as a reservation, repeated before the next response on that connection, was taken for the refusal of the next stream, as failures were accepted without an identifier. The caller got 503 although the engine ran the stream; with a second attempt allowed it would have run at another engine too.

Refusals that bear another request's identifier were left out before.

Change: without the identifier, a response is accepted for a request only if no other request was sent on the connection before it; else it is dropped like any response to another request.

With it, as a guard: a resumed stream whose next engine answers with an error.

--- a/src/forwarding/backend_connection.cpp
+++ b/src/forwarding/backend_connection.cpp
@@ -60,6 +60,7 @@
     auto message = std::make_shared<backend_request>(std::move(outgoing));
     is_head_request_ = message->method() == beast_http::verb::head;
     is_request_written_ = false;
+    ++requests_;
     beast_http::async_write(socket_, *message,
                             [self = shared_from_this(), message](const net_error& error, auto) {
                                 self->is_request_written_ = !error;
--- a/src/forwarding/backend_connection.hpp
+++ b/src/forwarding/backend_connection.hpp
@@ -52,6 +52,9 @@
     [[nodiscard]] const backend_id& backend() const noexcept { return id_; }
     [[nodiscard]] incarnation started() const noexcept { return started_; }
 
+    /// \returns whether no other request was sent on this connection before the last one
+    [[nodiscard]] bool is_first_exchange() const noexcept { return requests_ <= 1; }
+
     /// \returns whether another exchange may follow: the last one is complete, and the server keeps
     /// the connection open and has sent nothing after the response
     [[nodiscard]] bool is_reusable() const;
@@ -73,6 +76,7 @@
     std::optional<parser> parser_;
     backend_id id_;
     incarnation started_;
+    std::uint64_t requests_ = 0; ///< sent on this connection
     bool is_head_request_ = false;
     bool is_request_written_ = true;
     bool has_expired_ = false;
--- a/src/forwarding/exchange.cpp
+++ b/src/forwarding/exchange.cpp
@@ -97,8 +97,11 @@
         }
         const response_metadata metadata = state.wire.parse_response(connection->head());
         record_server_state(state, backend, connection->status(), metadata);
-        // A success without an id is the response to a call of the engine's management interface.
-        const bool may_lack_id = expected.empty() || !is_success(connection->status());
+        // A response without an id may be a copy of an earlier one. A success without an id is the
+        // response to a call of the engine's management interface.
+        const bool is_only_request = connection->is_first_exchange();
+        const bool may_lack_id =
+            expected.empty() || (is_only_request && !is_success(connection->status()));
         if (metadata.id == expected || (metadata.id.empty() && may_lack_id)) {
             record_request_limit(state, backend, metadata, sent_at);
             co_return error;
--- a/test/gateway/backend_answers_test.cpp
+++ b/test/gateway/backend_answers_test.cpp
@@ -157,3 +157,42 @@
         CHECK((status_of(answer) != 200 || answer.find("id: 3\n") != std::string::npos));
     }
 }
+
+TEST_CASE_FIXTURE(backend_answers_fixture,
+                  "earlier refusal without an identifier, repeated on a reused connection, is not "
+                  "taken for the answer to the next request") {
+    add("x-2", "model", "decode");
+    engine_script repeating;
+    repeating.repeats_hold_refusal = true;
+    for (const char* engine : {"x-1", "x-2"}) {
+        stub.set_script(engine, repeating);
+    }
+    for (int round = 0; round < 6; ++round) {
+        const std::size_t before = stub.count("x-1", "/stream/x") + stub.count("x-2", "/stream/x");
+        const int status = status_of(call("POST", "/stream/x", stream_head(), "prompt"));
+        const std::size_t runs =
+            stub.count("x-1", "/stream/x") + stub.count("x-2", "/stream/x") - before;
+        CHECK(runs <= 1);
+        CHECK((runs == 0 || status != 503));
+    }
+}
+
+TEST_CASE_FIXTURE(backend_answers_fixture,
+                  "resumed stream, next engine answers with an error, caller gets a cut stream "
+                  "without the error's text") {
+    add("x-2", "model", "decode");
+    engine_script breaking;
+    breaking.reset_after_events = 2;
+    engine_script failing;
+    failing.fails_decode = true;
+    std::string answer;
+    for (int round = 0; round < 10 && !answer.starts_with("HTTP/1.1 200"); ++round) {
+        stub.set_script("x-1", breaking);
+        stub.set_script("x-2", failing);
+        answer = call("POST", "/resume/x", stream_head(), "prompt");
+    }
+    REQUIRE(answer.find("id: 1") != std::string::npos);
+    CHECK(answer.find("error text") == std::string::npos);
+    CHECK(answer.find("HTTP/1.1 500") == std::string::npos);
+    CHECK_FALSE(answer.ends_with("0\r\n\r\n"));
+}
--- a/test/support/platform_stub.cpp
+++ b/test/support/platform_stub.cpp
@@ -26,6 +26,7 @@
 using json = nlohmann::json;
 using namespace std::chrono_literals;
 using plain_answer = engine_script::plain_answer;
+using stream_framing = engine_script::stream_framing;
 using any_request = beast_http::request<beast_http::string_body>;
 
 constexpr const char* attempt_field = "X-Cicadahatch-Attempt-Id";
@@ -422,12 +423,13 @@
                                  engine_script script) {
         const std::string id = text(asked[attempt_field]);
         const std::string after = text(asked["Last-Event-Id"]);
+        const bool is_chunked = script.framing == stream_framing::chunked;
+        const std::string framing = is_chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n";
         const unsigned first = after.empty() ? 0 : static_cast<unsigned>(std::stoul(after)) + 1;
         co_await send(socket, "HTTP/1.1 200 OK\r\n" + std::string{attempt_field} + ": " + id +
                                   "\r\n" + signature_field + ": s-" + engine.id + "\r\n" +
                                   status_fields(script, false) +
-                                  "Content-Type: text/event-stream\r\n"
-                                  "Transfer-Encoding: chunked\r\n\r\n");
+                                  "Content-Type: text/event-stream\r\n" + framing);
         asio::steady_timer pause{loop};
         net_error error;
         if (holds_crash_part(asked, script)) {
@@ -467,14 +469,24 @@
                 reset(socket);
                 co_return false;
             }
+            if (script.framing == stream_framing::until_close_empty) {
+                break;
+            }
             std::array<char, 32> size{};
             std::snprintf(size.data(), size.size(), "%zx\r\n", whole.size());
-            if (!co_await send(socket, size.data() + whole + "\r\n")) {
+            const std::string sent = is_chunked ? size.data() + whole + "\r\n" : whole;
+            if (!co_await send(socket, sent)) {
                 const std::lock_guard lock{mutex};
                 ++cancelled;
                 co_return false;
             }
         }
+        if (script.framing == stream_framing::until_close_cut) {
+            co_await send(socket, "id: 99\nda");
+        }
+        if (!is_chunked) {
+            co_return false;
+        }
         co_return co_await send(socket, "0\r\n\r\n");
     }
 
@@ -489,6 +501,10 @@
                 answer_text(id, script.has_capacity ? 200 : 503,
                             status_fields(script, !script.has_capacity), body);
             engine.late_copy = script.duplicates_hold_answers ? answer : std::string{};
+            if (script.repeats_hold_refusal) {
+                engine.late_copy = "HTTP/1.1 503 X\r\nX-Cicadahatch-Not-Executed: 1\r\n"
+                                   "Content-Length: 2\r\n\r\n{}";
+            }
             co_return co_await send(socket, answer);
         }
         if (!engine.late_copy.empty()) {
@@ -511,6 +527,11 @@
             const unsigned status = script.fails_prefill ? 500 : 200;
             co_return co_await send(socket, answer_text(id, status, "", body));
         }
+        if (script.fails_decode) {
+            co_return co_await send(
+                socket,
+                answer_text(id, 500, std::string{signature_field} + ": s\r\n", "error text\n\n"));
+        }
         if (engine.stage == "decode") {
             co_return co_await stream(socket, asked, engine, script);
         }
--- a/test/support/platform_stub.hpp
+++ b/test/support/platform_stub.hpp
@@ -50,6 +50,17 @@
         0; ///< resets the connection once after this many events; zero: never
     bool resets_within_event = false;
     std::chrono::milliseconds event_gap{5};
+    /// How the body of a stream ends.
+    enum class stream_framing : std::uint8_t {
+        chunked,
+        until_close,       ///< ends with the connection
+        until_close_empty, ///< the same, without any event
+        until_close_cut    ///< the same, within an event
+    };
+    stream_framing framing = stream_framing::chunked;
+    bool fails_decode = false; ///< error 500 with a text in place of a stream
+    /// A refusal of a hold, without an identifier, once more before the next response.
+    bool repeats_hold_refusal = false;
     /// Part of a prompt on which a decode engine crashes before its first event; empty: none.
     std::string crash_part;
     std::chrono::milliseconds crash_duration{300}; ///< until its process is back
