Break off a stream without a length that ends before its first event

A stream that ends within an event was cut already.

Change: a response without a length and without an event is broken; the engine is looked at as after any break, so that its prompt counts as a suspect.

--- a/src/forwarding/backend_connection.hpp
+++ b/src/forwarding/backend_connection.hpp
@@ -52,6 +52,8 @@
     [[nodiscard]] const backend_id& backend() const noexcept { return id_; }
     [[nodiscard]] incarnation started() const noexcept { return started_; }
 
+    /// \returns whether the response has no length, so that it ends with the connection
+    [[nodiscard]] bool ends_with_connection() const { return parser_->need_eof(); }
     /// \returns whether no other request was sent on this connection before the last one
     [[nodiscard]] bool is_first_exchange() const noexcept { return requests_ <= 1; }
 
--- a/src/forwarding/decode_stream.cpp
+++ b/src/forwarding/decode_stream.cpp
@@ -94,6 +94,12 @@
         stream.last_failure = "stream ends within an event";
         co_return decode_attempt{attempt_outcome::broken, status, true};
     }
+    // The connection of an engine that crashes may end like a response without a length.
+    const bool has_begun = stream.attempt_began_at != time_point{};
+    if (!has_begun && connection->ends_with_connection()) {
+        stream.last_failure = "stream ends without an event";
+        co_return decode_attempt{attempt_outcome::broken, status, true};
+    }
     co_return decode_attempt{attempt_outcome::done, status};
 }
 
--- a/test/gateway/backend_answers_test.cpp
+++ b/test/gateway/backend_answers_test.cpp
@@ -196,3 +196,25 @@
     CHECK(answer.find("HTTP/1.1 500") == std::string::npos);
     CHECK_FALSE(answer.ends_with("0\r\n\r\n"));
 }
+
+TEST_CASE_FIXTURE(
+    backend_answers_fixture,
+    "stream without a length, ends with its connection, is whole only after an event") {
+    engine_script script;
+    script.framing = engine_script::stream_framing::until_close;
+    stub.set_script("x-1", script);
+    std::string answer = call("POST", "/stream/x", stream_head(), "prompt");
+    CHECK(answer.find("id: 3") != std::string::npos);
+    CHECK(answer.ends_with("0\r\n\r\n"));
+
+    script.framing = engine_script::stream_framing::until_close_cut;
+    stub.set_script("x-1", script);
+    answer = call("POST", "/stream/x", stream_head(), "prompt");
+    CHECK(answer.find("id: 3") != std::string::npos);
+    CHECK_FALSE(answer.ends_with("0\r\n\r\n"));
+
+    script.framing = engine_script::stream_framing::until_close_empty;
+    stub.set_script("x-1", script);
+    answer = call("POST", "/stream/x", stream_head(), "prompt");
+    CHECK(status_of(answer) == 502);
+}
