--- a/review/build.sh
+++ b/review/build.sh
@@ -4,8 +4,8 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review
 flags=(-std=c++20 -O1 -pthread -I. -Wall)
-parts=(wire store record router client engine installation order_flow)
-cases=(stalled_orders endless_body large_bodies)
+parts=(wire store record router client engine installation order_flow store_path)
+cases=(stalled_orders endless_body large_bodies leaving_after_cut)
 pids=()
 for name in "${parts[@]}" "${cases[@]}"; do
     g++ "${flags[@]}" -c "review/standins/$name.cpp" -o "target/review/$name.o" &
--- a/review/standins/endless_body.cpp
+++ b/review/standins/endless_body.cpp
@@ -56,7 +56,7 @@
                                json::array({plain_route("orders", "non_idempotent", 800, 1),
                                             plain_route("lookups", "idempotent", 800, 2)}),
                                json::array({plain_service("orders"), plain_service("lookups")})));
-    router machine{notes, folder, platform.place()};
+    router machine{notes, folder, place_of(platform.port())};
     if (!machine.start() || !wait_until_served(notes, machine.callers(), "orders") ||
         !wait_until_served(notes, machine.callers(), "lookups")) {
         finish(machine, exit_not_run);
--- a/review/standins/engine.cpp
+++ b/review/standins/engine.cpp
@@ -47,13 +47,43 @@
     {
         const std::lock_guard lock{mutex_};
         ++runs_[request];
+        begins_.emplace(request, clock::now());
         ++count_;
     }
     begun_.notify_all();
     notes_.write(id_ + ": runs " + request);
 }
 
+void engine::exit() {
+    const std::lock_guard lock{mutex_};
+    has_exited_ = true;
+    server_.stop();
+    for (tcp::socket* socket : open_) {
+        net_error ignored; // The peer may have closed it.
+        socket->shutdown(tcp::socket::shutdown_both, ignored);
+    }
+    notes_.write(id_ + ": exits");
+}
+
+std::map<std::string, clock::time_point> engine::begins() {
+    const std::lock_guard lock{mutex_};
+    return begins_;
+}
+
 void engine::serve(tcp::socket& from) {
+    {
+        const std::lock_guard lock{mutex_};
+        if (has_exited_) {
+            return;
+        }
+        open_.insert(&from);
+    }
+    answer_all(from);
+    const std::lock_guard lock{mutex_};
+    open_.erase(&from);
+}
+
+void engine::answer_all(tcp::socket& from) {
     boost::beast::flat_buffer buffer;
     http_request asked;
     while (read_request(from, buffer, asked)) {
@@ -77,7 +107,6 @@
             answer.result(status_ok);
             answer.set(signature_field, "s." + id_ + "." + request);
             answer.body() = "done by " + id_ + " for " + request;
-            notes_.write(id_ + ": has run " + request + " and answers 200");
         }
         if (!write_response(from, std::move(answer))) {
             return;
--- a/review/standins/engine.hpp
+++ b/review/standins/engine.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <set>
 
 namespace review {
 
@@ -23,6 +24,11 @@
     void enter(store& into, const std::string& service) const;
     /// \brief Sets what it does wrongly.
     void set_fault(fault wrong);
+    [[nodiscard]] const std::string& id() const { return id_; }
+    /// \brief Ends as a process does: its port and its connections are closed.
+    void exit();
+    /// \returns when each request began to run here
+    [[nodiscard]] std::map<std::string, clock::time_point> begins();
     /// \returns how often the request ran here
     [[nodiscard]] int runs_of(const std::string& request);
     /// \brief Waits until so many requests have begun. \returns whether they have
@@ -30,6 +36,7 @@
 
 private:
     void serve(tcp::socket& from);
+    void answer_all(tcp::socket& from);
     void note_run(const std::string& request);
 
     record& notes_;
@@ -38,6 +45,9 @@
     std::mutex mutex_;
     std::condition_variable begun_;
     std::map<std::string, int> runs_;
+    std::map<std::string, clock::time_point> begins_;
+    std::set<tcp::socket*> open_;
+    bool has_exited_ = false;
     std::size_t count_ = 0;
     fault fault_;
     server server_; ///< last: its threads use the members above
--- a/review/standins/large_bodies.cpp
+++ b/review/standins/large_bodies.cpp
@@ -64,7 +64,7 @@
                                json::array({plain_route("orders", "non_idempotent", 800, 1),
                                             plain_route("uploads", "idempotent", 5000, 2)}),
                                json::array({plain_service("orders"), plain_service("uploads")})));
-    router machine{notes, folder, platform.place()};
+    router machine{notes, folder, place_of(platform.port())};
     if (!machine.start() || !wait_until_served(notes, machine.callers(), "orders") ||
         !wait_until_served(notes, machine.callers(), "uploads")) {
         finish(machine, exit_not_run);
--- a/review/standins/router.cpp
+++ b/review/standins/router.cpp
@@ -22,8 +22,9 @@
 constexpr int log_mode = 0644;
 
 /// The fields of deploy/settings.json with the bounds of the installation's sheet.
-json settings_of(std::uint16_t callers, std::uint16_t readiness, const std::string& store_place) {
-    return {{"name", "front-a-1"},
+json settings_of(const std::string& name, std::uint16_t callers, std::uint16_t readiness,
+                 const std::string& store_place) {
+    return {{"name", name},
             {"domain", "a"},
             {"callers", place_of(callers)},
             {"readiness", place_of(readiness)},
@@ -46,9 +47,10 @@
 
 } // namespace
 
-router::router(record& notes, std::string folder, const std::string& store_place)
-    : notes_(notes), folder_(std::move(folder)) {
-    std::ofstream{folder_ + "/boot.json"} << settings_of(callers_, readiness_, store_place).dump(4);
+router::router(record& notes, std::string folder, const std::string& store_place, std::string name)
+    : notes_(notes), folder_(std::move(folder)), name_(std::move(name)) {
+    std::ofstream{folder_ + "/" + name_ + ".json"}
+        << settings_of(name_, callers_, readiness_, store_place).dump(4);
 }
 
 void router::stop() {
@@ -71,8 +73,8 @@
 }
 
 bool router::start() {
-    const std::string settings = folder_ + "/boot.json";
-    const std::string log = folder_ + "/daemon.log";
+    const std::string settings = folder_ + "/" + name_ + ".json";
+    const std::string log = folder_ + "/" + name_ + ".log";
     std::string name = program;
     std::string flag = "--gateway";
     std::string file = settings;
@@ -93,7 +95,7 @@
     const auto until = clock::now() + start_time;
     while (clock::now() < until) {
         if (is_ready()) {
-            notes_.write("the daemon is ready");
+            notes_.write(name_ + " is ready");
             return true;
         }
         std::this_thread::sleep_for(poll_period);
--- a/review/standins/router.hpp
+++ b/review/standins/router.hpp
@@ -15,7 +15,8 @@
 public:
     /// \param folder of the settings file and the log
     /// \param store_place address of the platform's store
-    router(record& notes, std::string folder, const std::string& store_place);
+    router(record& notes, std::string folder, const std::string& store_place,
+           std::string name = "front-a-1");
     router(const router&) = delete;
     router& operator=(const router&) = delete;
     router(router&&) = delete;
@@ -42,6 +43,7 @@
 
     record& notes_;
     std::string folder_;
+    std::string name_;
     std::uint16_t callers_ = free_port();
     std::uint16_t readiness_ = free_port();
     pid_t process_ = 0;
--- a/review/standins/stalled_orders.cpp
+++ b/review/standins/stalled_orders.cpp
@@ -110,7 +110,7 @@
     platform.put("op/config",
                  configuration(7, json::array({plain_route("orders", "non_idempotent", 800, 1)}),
                                json::array({plain_service("orders")})));
-    router machine{notes, folder, platform.place()};
+    router machine{notes, folder, place_of(platform.port())};
     if (!machine.start() || !wait_until_served(notes, machine.callers(), "orders")) {
         finish(machine, exit_not_run);
     }
--- a/review/standins/store.cpp
+++ b/review/standins/store.cpp
@@ -59,6 +59,11 @@
     set(key, base64(value.dump()), 0);
 }
 
+void store::remove(const std::string& key) {
+    const std::lock_guard lock{mutex_};
+    erase(key);
+}
+
 void store::serve(tcp::socket& from) {
     boost::beast::flat_buffer buffer;
     http_request asked;
--- a/review/standins/store.hpp
+++ b/review/standins/store.hpp
@@ -14,10 +14,11 @@
 class store {
 public:
     store();
-    [[nodiscard]] std::string place() const { return place_of(server_.port()); }
+    [[nodiscard]] std::uint16_t port() const { return server_.port(); }
 
     /// \brief Writes as the operator and the engines do.
     void put(const std::string& key, const json& value);
+    void remove(const std::string& key);
 
 private:
     struct item {
--- a/review/standins/wire.cpp
+++ b/review/standins/wire.cpp
@@ -3,7 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/buffer_body.hpp>
-#include <memory>
+#include <poll.h>
 #include <thread>
 
 namespace review {
@@ -17,13 +17,23 @@
     return loop;
 }
 
-void accept_all(const std::shared_ptr<tcp::acceptor>& acceptor, const server::handler& serve) {
-    while (true) {
-        net_error error;
+/// \returns whether a connection waits
+bool wait_for_connection(tcp::acceptor& acceptor) {
+    constexpr int wait_ms = 10;
+    pollfd waiting{acceptor.native_handle(), POLLIN, 0};
+    return ::poll(&waiting, 1, wait_ms) > 0;
+}
+
+void accept_all(const std::shared_ptr<tcp::acceptor>& acceptor, const server::handler& serve,
+                const std::shared_ptr<std::atomic<bool>>& is_stopped) {
+    net_error error;
+    while (!*is_stopped) {
+        if (!wait_for_connection(*acceptor)) {
+            continue;
+        }
         tcp::socket accepted{shared_loop()};
         acceptor->accept(accepted, error);
         if (error) {
-            std::this_thread::sleep_for(milliseconds{1});
             continue;
         }
         accepted.set_option(tcp::no_delay(true), error);
@@ -31,6 +41,7 @@
             serve(*held);
         }}.detach();
     }
+    acceptor->close(error);
 }
 
 } // namespace
@@ -71,7 +82,9 @@
     const auto acceptor = std::make_shared<tcp::acceptor>(
         shared_loop(), tcp::endpoint{boost::asio::ip::make_address(loopback), 0});
     port_ = acceptor->local_endpoint().port();
-    std::thread{[acceptor, serve = std::move(serve)] { accept_all(acceptor, serve); }}.detach();
+    std::thread{[acceptor, serve = std::move(serve), is_stopped = is_stopped_] {
+        accept_all(acceptor, serve, is_stopped);
+    }}.detach();
 }
 
 bool read_request(tcp::socket& from, boost::beast::flat_buffer& buffer, http_request& into) {
--- a/review/standins/wire.hpp
+++ b/review/standins/wire.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 
@@ -46,8 +48,13 @@
     explicit server(handler serve);
     [[nodiscard]] std::uint16_t port() const { return port_; }
 
+    /// \brief Closes the port, as a process that exits does. Open connections are left to the
+    /// caller.
+    void stop() { *is_stopped_ = true; }
+
 private:
     std::uint16_t port_ = 0;
+    std::shared_ptr<std::atomic<bool>> is_stopped_ = std::make_shared<std::atomic<bool>>(false);
 };
 
 /// \brief Reads one request. \returns false if the connection has ended
