Plain requests: a response that is complete at the timeout is delivered

Cause: response and timer are due in the same iteration of the event loop. The exchange succeeds, but the request has ended; handle_response() reported the final response without recording that the request may have run, forward_plain() dropped it, and send_failure() promised "not run". Ruled out: a server's false statement (none is sent) and a failed exchange, which counts as unknown. Change: any response that doesn't state the opposite records that the request may have run; a complete response is delivered although its request has timed out. Streams, kept failures and the product's own interface don't have the cause (docs/incidents/refused-after-execution.md). Evidence: forwarding.plain_forward plays the order of events on one thread. Before: 2 of its 5 cases fail (503 in place of 200 and 500; 503 in place of 200).

--- a/src/forwarding/plain_forward.cpp
+++ b/src/forwarding/plain_forward.cpp
@@ -104,24 +104,23 @@
 }
 
 /// Updates the state by a response.
-/// \returns whether the response ends the request
+/// \returns whether the response is the final one for the caller
 bool handle_response(const request_context& request, full_response& response,
                      plain_attempts& attempts) {
-    if (!response.error && !response.metadata.is_not_executed && is_valid_response(response)) {
-        if (!is_retryable_failure(request, response)) {
-            return true;
-        }
-        attempts.failure.emplace(std::move(response));
-        attempts.execution = execution_state::unknown;
-        return false;
-    }
-    attempts.error = response.error;
     const bool is_not_executed = (!response.error && response.metadata.is_not_executed) ||
                                  is_definitely_unsent(response.error);
     if (!is_not_executed) {
         attempts.execution = execution_state::unknown;
     }
-    return request.is_ended();
+    if (response.error || response.metadata.is_not_executed || !is_valid_response(response)) {
+        attempts.error = response.error;
+        return false;
+    }
+    if (!is_retryable_failure(request, response)) {
+        return true;
+    }
+    attempts.failure.emplace(std::move(response));
+    return false;
 }
 
 bool may_retry(const request_context& request, const plain_attempts& attempts) {
@@ -144,13 +143,16 @@
                                     caller_connection& caller, full_response response,
                                     unsigned sends) {
     const unsigned status = response.status;
-    const bool is_sent = co_await caller.send(make_caller_response(std::move(response)));
+    bool is_sent = false;
+    if (request->end_reason() != request_end_reason::caller_left) {
+        is_sent = co_await caller.send(make_caller_response(std::move(response)));
+    }
     record_request_end(state, *request, status, is_sent ? "answered" : "not_delivered", "", sends);
 }
 
 asio::awaitable<void> send_failure(gateway_state& state, request_context_ptr request,
                                    caller_connection& caller, plain_attempts& attempts) {
-    if (attempts.failure && request->end_reason() != request_end_reason::caller_left) {
+    if (attempts.failure) {
         co_await send_response(state, request, caller, std::move(*attempts.failure),
                                attempts.sends);
         co_return;
@@ -182,7 +184,8 @@
             break;
         }
         full_response response = co_await send_to_server(state, request, attempts, *target);
-        if (handle_response(*request, response, attempts) && !request->is_ended()) {
+        // A response that is complete as the request times out is still delivered.
+        if (handle_response(*request, response, attempts)) {
             co_await send_response(state, request, caller, std::move(response), attempts.sends);
             co_return;
         }
