Readers: bytes that can't be parsed yet are bounded

Cause: the head and the body handed out were bounded, the parser's buffer was not; it grows until the end of a chunk's head or of the trailer is found. Change: max_unparsed_bytes (64 KiB) for the buffers of server responses, caller requests, readiness and metrics pages, and replies of the store. Read-ahead of pipelined requests stays within the bound, as flat_buffer::prepare() throws beyond it. Tests: four endless forms at a plain server (502 in place of 504 at the timeout), a stream, a caller's request (400 in place of 408), a readiness probe, the store; pipelined requests beyond the read-ahead.

--- a/src/forwarding/backend_connection.hpp
+++ b/src/forwarding/backend_connection.hpp
@@ -3,6 +3,7 @@
 #include "src/core/clock.hpp"
 #include "src/core/identifiers.hpp"
 #include "src/forwarding/asio.hpp"
+#include "src/http/constants.hpp"
 #include "src/http/endpoint.hpp"
 
 #include <memory>
@@ -74,7 +75,7 @@
 
     tcp::socket socket_;
     asio::steady_timer deadline_timer_;
-    boost::beast::flat_buffer buffer_;
+    boost::beast::flat_buffer buffer_{http::max_unparsed_bytes};
     std::optional<parser> parser_;
     backend_id id_;
     incarnation started_;
--- a/src/forwarding/caller_connection.cpp
+++ b/src/forwarding/caller_connection.cpp
@@ -4,6 +4,9 @@
 #include "src/forwarding/forward.hpp"
 #include "src/forwarding/header_fields.hpp"
 #include "src/forwarding/local_response.hpp"
+#include "src/http/constants.hpp"
+
+#include <algorithm>
 
 namespace cicadahatch::forwarding {
 
@@ -148,6 +151,7 @@
 
 asio::awaitable<bool> caller_connection::serve_request() {
     request_parser parser;
+    buffer_.max_size(std::max(buffer_.size(), limits().head_bytes + http::max_unparsed_bytes));
     parser.header_limit(static_cast<std::uint32_t>(limits().head_bytes));
     parser.body_limit(limits().body_bytes);
     std::optional<backend_request> message;
@@ -192,6 +196,9 @@
 
 void caller_connection::on_readable(const request_context_ptr& request) {
     constexpr std::size_t read_size = 4096;
+    if (buffer_.size() >= max_pipelined_bytes) {
+        return;
+    }
     net_error error;
     const std::size_t received = socket_.read_some(buffer_.prepare(read_size), error);
     if (error == asio::error::would_block) {
@@ -204,9 +211,7 @@
         return;
     }
     buffer_.commit(received);
-    if (buffer_.size() < max_pipelined_bytes) {
-        watch_for_disconnect(request);
-    }
+    watch_for_disconnect(request);
 }
 
 asio::awaitable<bool> caller_connection::send(caller_response response) {
--- a/src/forwarding/caller_connection.hpp
+++ b/src/forwarding/caller_connection.hpp
@@ -57,7 +57,7 @@
     gateway_state& state_;
     tcp::socket socket_;
     asio::steady_timer timeout_timer_;
-    boost::beast::flat_buffer buffer_;
+    boost::beast::flat_buffer buffer_; ///< bounded before each request is read
     bool is_keep_alive_ = true;
     bool has_expired_ = false;
     bool is_idle_ = true;
--- a/src/gateway/listener.cpp
+++ b/src/gateway/listener.cpp
@@ -1,5 +1,6 @@
 #include "src/gateway/listener.hpp"
 
+#include "src/http/constants.hpp"
 #include "src/http/error.hpp"
 
 namespace cicadahatch::gateway {
@@ -74,7 +75,7 @@
 }
 
 asio::awaitable<void> serve_pages(tcp::socket socket, page_handler respond) {
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{http::max_unparsed_bytes};
     bool keeps_alive = true;
     while (keeps_alive) {
         beast_http::request<beast_http::empty_body> request;
--- a/src/http/constants.hpp
+++ b/src/http/constants.hpp
@@ -12,6 +12,10 @@
 /// Responses with a larger body are given up unless the call states another bound.
 inline constexpr std::size_t max_response_bytes = 64UL * 1024 * 1024;
 
+/// Received bytes that a reader buffers until they can be parsed, such as the head of a chunk or
+/// the trailer fields. The same part of a valid message is a hundredth of it.
+inline constexpr std::size_t max_unparsed_bytes = 64UL * 1024;
+
 /// Time in which the head of a request, and then its body, has to arrive at a server.
 inline constexpr std::chrono::milliseconds default_receive_timeout{10'000};
 
--- a/src/http/timed_client.cpp
+++ b/src/http/timed_client.cpp
@@ -68,7 +68,7 @@
     endpoint place;
     asio::io_context loop{1};
     std::unique_ptr<beast::tcp_stream> stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_unparsed_bytes};
 };
 
 timed_client::timed_client(endpoint place)
--- a/test/gateway/backend_answers_test.cpp
+++ b/test/gateway/backend_answers_test.cpp
@@ -114,6 +114,31 @@
     }
 }
 
+TEST_CASE_FIXTURE(backend_answers_fixture,
+                  "response, endless chunk size, extension or trailer, is given up before it "
+                  "exhausts memory") {
+    for (const plain_answer endless :
+         {plain_answer::endless_chunk_size, plain_answer::endless_chunk_extension,
+          plain_answer::endless_trailer_field, plain_answer::endless_trailer}) {
+        INFO(static_cast<int>(endless));
+        script("shop-1", endless);
+        // At the route's timeout the caller would get 504.
+        CHECK(status_of(call("POST", "/book/x", {}, "b")) == 502);
+        script("shop-1", plain_answer::normal);
+        REQUIRE(eventually([this] { return status_of(call("GET", "/plain/warm")) == 200; }));
+    }
+}
+
+TEST_CASE_FIXTURE(backend_answers_fixture,
+                  "stream, endless chunk extension, is given up before it exhausts memory") {
+    engine_script endless;
+    endless.has_endless_extension = true;
+    stub.set_script("x-1", endless);
+    std::string answer;
+    CHECK(time_of_stream("/stream/x", answer) < soon);
+    CHECK(status_of(answer) == 502);
+}
+
 TEST_CASE_FIXTURE(backend_answers_fixture,
                   "stream, endless event, is aborted before it exhausts memory") {
     engine_script endless;
--- a/test/gateway/gateway_test.cpp
+++ b/test/gateway/gateway_test.cpp
@@ -1,3 +1,4 @@
+#include "src/http/constants.hpp"
 #include "test/support/gateway_fixture.hpp"
 
 #include <doctest/doctest.h>
@@ -11,6 +12,9 @@
 using test_support::gateway_fixture;
 using plain_answer = engine_script::plain_answer;
 
+/// More than the daemon buffers of a message that it can't parse yet.
+constexpr std::size_t too_many_bytes = 2 * http::max_unparsed_bytes;
+
 } // namespace
 
 TEST_CASE_FIXTURE(gateway_fixture, "plain request, healthy server, response is relayed unchanged") {
@@ -266,6 +270,48 @@
     CHECK(executions("shop-1") == 0);
 }
 
+TEST_CASE_FIXTURE(gateway_fixture,
+                  "request, endless chunk size, extension or trailer, is rejected before it "
+                  "exhausts memory") {
+    const std::string head = request("POST", "/book/x", "Transfer-Encoding: chunked\r\n");
+    for (const std::string begin : {"", "5;", "0\r\nX-More: "}) {
+        INFO(begin);
+        const test_support::raw_caller caller{callers()};
+        caller.send(head + begin + std::string(too_many_bytes, 'x'));
+        // At the time limit for the request the caller would get 408.
+        CHECK(status_of(caller.receive_all()) == 400);
+    }
+    CHECK(executions("shop-1") == 0);
+}
+
+TEST_CASE_FIXTURE(gateway_fixture,
+                  "readiness probe, endless chunk size, connection is closed before it exhausts "
+                  "memory") {
+    const test_support::raw_caller probe{http::parse_endpoint(configured.readiness).value()};
+    probe.send("GET /cicadahatch/readiness HTTP/1.1\r\nHost: r\r\nTransfer-Encoding: "
+               "chunked\r\n\r\n");
+    const auto begun = std::chrono::steady_clock::now();
+    probe.send(std::string(too_many_bytes, 'x'));
+    static_cast<void>(probe.receive_all());
+    CHECK(std::chrono::steady_clock::now() - begun < 2s);
+}
+
+TEST_CASE_FIXTURE(gateway_fixture,
+                  "pipelined requests, more than are read ahead, are all answered in order") {
+    const test_support::raw_caller caller{callers()};
+    std::string sent;
+    constexpr int requests = 40;
+    for (int number = 0; number < requests; ++number) {
+        sent += request("POST", "/book/x", "X-Number: " + std::to_string(number) + "\r\n",
+                        std::string(3000, 'b'));
+    }
+    std::thread sender{[&] { caller.send(sent + request("GET", "/none/x")); }};
+    const std::string received = caller.receive_until("no such route");
+    sender.join();
+    CHECK(received.find("no such route") != std::string::npos);
+    CHECK(executions("shop-1") == requests);
+}
+
 TEST_CASE_FIXTURE(gateway_fixture, "request, no matching route, gets 404") {
     CHECK(status_of(call("GET", "/none/x")) == 404);
 }
--- a/test/platform/kv_store_test.cpp
+++ b/test/platform/kv_store_test.cpp
@@ -91,3 +91,12 @@
     REQUIRE(store.revoke_lease(*lease));
     CHECK(store.list("a/")->entries.empty());
 }
+
+TEST_CASE_FIXTURE(kv_store_fixture, "calls, endless reply, fail before the reply exhausts memory") {
+    constexpr auto timeout = 30s;
+    platform::kv_store patient{stub.store(), timeout};
+    stub.set_store_mode(store_mode::endless_reply);
+    const auto begun = std::chrono::steady_clock::now();
+    CHECK(patient.list("").error() == errc::unavailable);
+    CHECK(std::chrono::steady_clock::now() - begun < timeout / 2);
+}
--- a/test/support/platform_stub.cpp
+++ b/test/support/platform_stub.cpp
@@ -276,6 +276,11 @@
                 asio::steady_timer never{loop, 1h};
                 co_await never.async_wait(capture_error(error));
             }
+            if (now == store_mode::endless_reply) {
+                co_await send_until_closed(
+                    socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;");
+                co_return;
+            }
             std::pair<unsigned, json> made{503U, json::object()};
             if (now != store_mode::busy) {
                 const std::string target = text(asked.target());
@@ -334,9 +339,15 @@
     }
 
     /// Sends until the daemon closes the connection.
-    static asio::awaitable<void> send_until_closed(tcp::socket& socket, std::string head) {
+    /// \param line sent again and again
+    static asio::awaitable<void> send_until_closed(tcp::socket& socket, std::string head,
+                                                   std::string line = "x") {
+        constexpr std::size_t repetitions = 4096;
         bool is_open = co_await send(socket, std::move(head));
-        const std::string more(4096, 'x');
+        std::string more;
+        for (std::size_t number = 0; number < repetitions; ++number) {
+            more += line;
+        }
         while (is_open) {
             is_open = co_await send(socket, more);
         }
@@ -349,6 +360,11 @@
                body;
     }
 
+    static std::string chunked_head(const std::string& id, const std::string& extra) {
+        return "HTTP/1.1 200 OK\r\n" + extra + attempt_field + ": " + id +
+               "\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n";
+    }
+
     static void reset(tcp::socket& socket) {
         net_error ignored;
         socket.set_option(asio::socket_base::linger(true, 0), ignored);
@@ -402,6 +418,18 @@
             co_await send_until_closed(socket, "HTTP/1.1 200 OK\r\n" + mark + attempt_field + ": " +
                                                    id + "\r\n\r\n");
             co_return;
+        case plain_answer::endless_chunk_size:
+            co_await send_until_closed(socket, chunked_head(id, mark));
+            co_return;
+        case plain_answer::endless_chunk_extension:
+            co_await send_until_closed(socket, chunked_head(id, mark) + "5;");
+            co_return;
+        case plain_answer::endless_trailer_field:
+            co_await send_until_closed(socket, chunked_head(id, mark) + "0\r\nX-More: ");
+            co_return;
+        case plain_answer::endless_trailer:
+            co_await send_until_closed(socket, chunked_head(id, mark) + "0\r\n", "X-More: x\r\n");
+            co_return;
         case plain_answer::hang:
             co_await wait_until_closed(socket);
             co_return;
@@ -471,6 +499,10 @@
             co_await send_until_closed(socket, "fffffff\r\ndata: ");
             co_return false;
         }
+        if (script.has_endless_extension) {
+            co_await send_until_closed(socket, "5;");
+            co_return false;
+        }
         while (script.trickles_first_event) {
             pause.expires_after(50ms);
             co_await pause.async_wait(capture_error(error));
--- a/test/support/platform_stub.hpp
+++ b/test/support/platform_stub.hpp
@@ -16,24 +16,29 @@
     busy,         ///< 503: nothing was done
     unresponsive, ///< accepts calls and never responds
     lost_reply,   ///< executes calls and closes the connection without a response
-    compacted     ///< watches get 410
+    compacted,    ///< watches get 410
+    endless_reply ///< replies have an endless chunk extension
 };
 
 /// \brief How a stub engine responds.
 struct engine_script {
     enum class plain_answer : std::uint8_t {
         normal,
-        not_run,        ///< 503 stating that it was not executed
-        plain_503,      ///< 503 without that statement
-        error_500,      ///< error of the server itself
-        reset,          ///< executes it and resets the connection
-        unsigned_200,   ///< success without a signature
-        cut_short,      ///< closes before the announced length
-        foreign_answer, ///< a response to another request before its own
-        garbage,        ///< bytes that are not an HTTP response
-        endless_head,   ///< endless head
-        endless_body,   ///< endless body
-        hang            ///< never responds
+        not_run,                 ///< 503 stating that it was not executed
+        plain_503,               ///< 503 without that statement
+        error_500,               ///< error of the server itself
+        reset,                   ///< executes it and resets the connection
+        unsigned_200,            ///< success without a signature
+        cut_short,               ///< closes before the announced length
+        foreign_answer,          ///< a response to another request before its own
+        garbage,                 ///< bytes that are not an HTTP response
+        endless_head,            ///< endless head
+        endless_body,            ///< endless body
+        endless_chunk_size,      ///< endless line with the size of a chunk
+        endless_chunk_extension, ///< endless extension of a chunk
+        endless_trailer_field,   ///< endless field after the last chunk
+        endless_trailer,         ///< endless number of fields after the last chunk
+        hang                     ///< never responds
     };
     plain_answer plain = plain_answer::normal;
     bool reports_leaving = false;         ///< in every response, whatever its entry states
@@ -42,6 +47,7 @@
     bool duplicates_hold_answers = false; ///< the copy is sent before the next response
     bool trickles_first_event = false;    ///< single bytes instead of the first event
     bool has_endless_event = false;       ///< an endless event instead of the first
+    bool has_endless_extension = false;   ///< an endless chunk extension instead of the first event
     bool has_capacity = true;             ///< else holds are refused
     bool fails_prefill = false;
     bool answers_421 = false; ///< 421, as after a restart or a role change
