Discovery: only the poll that ends an outage grants a grace period

Cause: the grace period for entries that lapse in an outage began with the return of the store and held for every removal until its end; relayed updates passed it on. Ruled out: late reading of the removal. Change: the grace period belongs to the update of the first successful poll, which doesn't wait for changes. A relayed one holds for its own update, and only if the receiver has heard nothing meanwhile. Interruptions shorter than a silent source is tolerated start none. Tests: discovery.follower, discovery.registry_feed, gateway.gateway ("entry removed just after an outage").

--- a/src/discovery/follower.cpp
+++ b/src/discovery/follower.cpp
@@ -113,11 +113,21 @@
     return update;
 }
 
-void follower::set_reachable(bool is_reachable) {
-    if (is_reachable && is_unreachable_) {
-        grace_ends_at_ = time_.now() + options_.grace_period;
+void follower::record_failure(time_point called_at, const std::error_code& error) {
+    const bool has_called =
+        error != store::errc::circuit_open && error != store::errc::rate_limited;
+    if (has_called || !is_unreachable_) {
+        failed_call_at_ = called_at;
     }
-    is_unreachable_ = !is_reachable;
+    is_unreachable_ = true;
+}
+
+bool follower::may_have_missed_outage() const {
+    return time_.now() - last_read_at_ >= options_.min_outage;
+}
+
+time_point follower::outage_grace_end() const {
+    return std::min(time_.now() + options_.grace_period, failed_call_at_ + options_.settling);
 }
 
 result<registry_update> follower::poll() {
@@ -132,45 +142,57 @@
 result<registry_update> follower::poll_feed() {
     auto delta = feed_->take(options_.relaying_watch_timeout);
     if (!delta) {
-        return complete({});
+        return complete({}, {});
     }
     if (delta->after > watch_.position()) {
         return poll_store(std::chrono::milliseconds{0});
     }
-    set_reachable(true);
-    grace_ends_at_ = std::max(grace_ends_at_, time_.now() + delta->grace_period);
+    // If the store was read meanwhile, only the relay had lost it.
+    const time_point grace_ends_at =
+        may_have_missed_outage() ? time_.now() + delta->grace_period : time_point{};
+    is_unreachable_ = false;
+    last_read_at_ = time_.now();
     std::erase_if(delta->changes, [this](const store::change& change) {
         return change.changed.modified <= watch_.position();
     });
     watch_.skip_through(delta->through);
     registry_update update = decode_changes(delta->changes);
     update.is_relayed = true;
-    return complete(std::move(update));
+    return complete(std::move(update), grace_ends_at);
 }
 
 result<registry_update> follower::poll_store(std::chrono::milliseconds wait) {
     const revision before = watch_.position();
-    auto polled = watch_.poll(wait);
-    set_reachable(polled.has_value());
+    const time_point called_at = time_.now();
+    // The first poll after an outage returns at once: entries that are removed later did not lapse
+    // in it.
+    auto polled = watch_.poll(is_unreachable_ ? std::chrono::milliseconds{0} : wait);
     if (!polled) {
+        record_failure(called_at, polled.error());
         return tl::unexpected(polled.error());
     }
-    publish_delta(before, *polled);
+    const bool has_lapsed_entries = is_unreachable_ && may_have_missed_outage();
+    const time_point grace_ends_at = has_lapsed_entries ? outage_grace_end() : time_point{};
+    is_unreachable_ = false;
+    last_read_at_ = time_.now();
+    publish_delta(before, *polled, grace_ends_at);
     return complete(polled->is_whole ? decode_snapshot(polled->entries)
-                                     : decode_changes(polled->changes));
+                                     : decode_changes(polled->changes),
+                    grace_ends_at);
 }
 
-registry_update follower::complete(registry_update update) const {
+registry_update follower::complete(registry_update update, time_point grace_ends_at) const {
     if (update.has_daemon_list) {
         for (const auto& [key, daemon] : daemons_) {
             update.daemons.push_back(daemon);
         }
     }
-    update.grace_ends_at = grace_ends_at_;
+    update.grace_ends_at = grace_ends_at;
     return update;
 }
 
-void follower::publish_delta(revision before, const store::watch_update& polled) {
+void follower::publish_delta(revision before, const store::watch_update& polled,
+                             time_point grace_ends_at) {
     if (!on_delta_) {
         return;
     }
@@ -179,7 +201,7 @@
     // A listing skips revisions, so a receiver that is behind has to read the store itself.
     delta.after = polled.is_whole ? delta.through : before;
     delta.changes = polled.changes;
-    const duration left = std::max(duration{0}, grace_ends_at_ - time_.now());
+    const duration left = std::max(duration{0}, grace_ends_at - time_.now());
     delta.grace_period = std::chrono::ceil<std::chrono::milliseconds>(left);
     on_delta_(std::move(delta));
 }
--- a/src/discovery/follower.hpp
+++ b/src/discovery/follower.hpp
@@ -47,8 +47,8 @@
     bool is_snapshot = false;               ///< present lists every backend server
     bool has_daemon_list = false;           ///< the list of daemons has changed
     std::vector<registered_daemon> daemons; ///< complete list, if it has changed
-    time_point grace_ends_at;               ///< absent backend servers are kept until then
-    bool is_relayed = false;                ///< read from the store by another daemon
+    time_point grace_ends_at; ///< absent backend servers are kept until then; the epoch: not kept
+    bool is_relayed = false;  ///< read from the store by another daemon
 };
 
 /// \brief A change of the store's reachability.
@@ -65,7 +65,12 @@
     std::chrono::milliseconds update_delay{400};  ///< pause after a watch with changes
     std::chrono::milliseconds retry_delay{150};   ///< pause after a failure
     std::chrono::milliseconds grace_period{2400}; ///< for entries to reappear after an outage
-    std::chrono::seconds presence_ttl{15};        ///< lease of this daemon's own key
+    /// Entries do not lapse in a shorter outage.
+    std::chrono::milliseconds min_outage{0};
+    /// Time after the end of an outage from which removed entries must not be used. The end is not
+    /// known, but is later than the start of the last call that failed.
+    std::chrono::milliseconds settling{3000};
+    std::chrono::seconds presence_ttl{15}; ///< lease of this daemon's own key
     std::chrono::seconds presence_renewal_interval{5};
 };
 
@@ -110,12 +115,15 @@
 private:
     [[nodiscard]] result<registry_update> poll_store(std::chrono::milliseconds wait);
     [[nodiscard]] result<registry_update> poll_feed();
-    [[nodiscard]] registry_update complete(registry_update update) const;
-    void publish_delta(revision before, const store::watch_update& polled);
+    [[nodiscard]] registry_update complete(registry_update update, time_point grace_ends_at) const;
+    void publish_delta(revision before, const store::watch_update& polled,
+                       time_point grace_ends_at);
     [[nodiscard]] registry_update decode_snapshot(const std::vector<store::entry>& entries);
     [[nodiscard]] registry_update decode_changes(const std::vector<store::change>& changes);
     void decode_entry(const store::entry& entry, registry_update& update) const;
-    void set_reachable(bool is_reachable);
+    void record_failure(time_point called_at, const std::error_code& error);
+    [[nodiscard]] bool may_have_missed_outage() const;
+    [[nodiscard]] time_point outage_grace_end() const;
     [[nodiscard]] result<void> register_self();
     /// \returns whether the list of daemons has changed
     [[nodiscard]] bool update_daemon(const store::entry& entry, bool is_erased);
@@ -130,7 +138,8 @@
     delta_handler on_delta_;
     std::map<std::string, registered_daemon> daemons_; ///< by key
     bool is_unreachable_ = false;
-    time_point grace_ends_at_; ///< until then entries may reappear after an outage
+    time_point failed_call_at_; ///< start of the last call of the store that failed
+    time_point last_read_at_;   ///< end of the last successful poll of the store or the feed
     store::lease_id lease_;
     time_point next_renewal_;
     std::atomic<bool> is_stopping_{false};
--- a/test/discovery/follower_test.cpp
+++ b/test/discovery/follower_test.cpp
@@ -35,12 +35,15 @@
     manual_clock time;
     test_support::memory_store store{time};
     follower_options options;
-    discovery::follower follower{store,
-                                 {"config", "s/", "d/", read_configuration, read_backend},
-                                 make_options(),
-                                 time,
-                                 {daemon_id{"d1"}, {"10.0.0.1", 7000}, domain_id{"a"}}};
+    discovery::follower follower;
 
+    follower_fixture() : follower_fixture(make_options()) {}
+    explicit follower_fixture(const follower_options& initial)
+        : options(initial),
+          follower(store, {"config", "s/", "d/", read_configuration, read_backend}, options, time,
+                   {daemon_id{"d1"}, {"10.0.0.1", 7000}, domain_id{"a"}}) {
+        time.advance(1h);
+    }
     static follower_options make_options() {
         follower_options fast_options;
         fast_options.watch_timeout = 0ms;
@@ -51,6 +54,35 @@
     }
     void erase(const std::string& key) { REQUIRE(test_support::erase(store, key)); }
     registry_update poll() { return follower.poll().value(); }
+    /// The store becomes unreachable; the last call fails at the end.
+    void lose_store(duration outage) {
+        store.set_fault(store_fault::unavailable);
+        time.advance(outage);
+        CHECK_FALSE(follower.poll());
+        store.set_fault(store_fault::none);
+    }
+};
+
+/// A follower that is told how long an outage must last for entries to lapse.
+struct interruption_fixture : follower_fixture {
+    static constexpr std::chrono::milliseconds min_outage = 1200ms;
+
+    interruption_fixture() : follower_fixture(make_interruption_options()) {}
+    static follower_options make_interruption_options() {
+        follower_options made = make_options();
+        made.min_outage = min_outage;
+        return made;
+    }
+};
+
+/// A follower that waits for changes.
+struct waiting_fixture : follower_fixture {
+    waiting_fixture() : follower_fixture(make_waiting_options()) {}
+    static follower_options make_waiting_options() {
+        follower_options made = make_options();
+        made.watch_timeout = 5ms;
+        return made;
+    }
 };
 
 bool lists(const registry_update& update, const std::string& id) {
@@ -164,6 +196,58 @@
     CHECK(poll().grace_ends_at <= time.now());
 }
 
+TEST_CASE_FIXTURE(follower_fixture,
+                  "poll, entry removed after the first poll that follows an outage, has no grace "
+                  "period") {
+    put("s/a", "x");
+    static_cast<void>(poll());
+    lose_store(4s);
+    static_cast<void>(poll());
+    time.advance(50ms);
+    erase("s/a");
+    const registry_update update = poll();
+    CHECK(update.absent == std::vector{backend_id{"a"}});
+    CHECK(update.grace_ends_at <= time.now());
+}
+
+TEST_CASE_FIXTURE(follower_fixture,
+                  "poll, end of an outage noticed late, grace period ends when bounds hold again") {
+    put("s/a", "x");
+    static_cast<void>(poll());
+    lose_store(4s);
+    const time_point last_failure = time.now();
+    erase("s/a");
+    time.advance(2s);
+    const registry_update update = poll();
+    CHECK(update.grace_ends_at > time.now());
+    CHECK(update.grace_ends_at <= last_failure + options.settling);
+}
+
+TEST_CASE_FIXTURE(interruption_fixture,
+                  "poll, entry removed around an interruption too short for a lapse, has no grace "
+                  "period") {
+    put("s/a", "x");
+    static_cast<void>(poll());
+    lose_store(min_outage - 1ms);
+    erase("s/a");
+    CHECK(poll().grace_ends_at <= time.now());
+    put("s/b", "x");
+    static_cast<void>(poll());
+    lose_store(min_outage);
+    erase("s/b");
+    CHECK(poll().grace_ends_at > time.now());
+}
+
+TEST_CASE_FIXTURE(waiting_fixture, "poll, first one after an outage, does not wait for changes") {
+    put("s/a", "x");
+    static_cast<void>(poll());
+    lose_store(4s);
+    static_cast<void>(poll());
+    CHECK(store.last_wait() == 0ms);
+    static_cast<void>(poll());
+    CHECK(store.last_wait() == options.watch_timeout);
+}
+
 TEST_CASE_FIXTURE(follower_fixture, "poll, history compacted, returns a snapshot") {
     put("s/a", "x");
     static_cast<void>(poll());
--- a/test/discovery/registry_feed_test.cpp
+++ b/test/discovery/registry_feed_test.cpp
@@ -40,10 +40,10 @@
     std::vector<store_delta> deltas;
 
     test_daemon(const cicadahatch::clock& time, store::key_value_store& store,
-                const std::string& name)
+                const std::string& name, const follower_options& options)
         : feed(time, feed_timeout),
-          follower(store, {"config", "s/", "d/", read_configuration, read_backend}, make_options(),
-                   time, {daemon_id{name}, {"10.0.0.1", 7000}, domain_id{"a"}, {}}) {
+          follower(store, {"config", "s/", "d/", read_configuration, read_backend}, options, time,
+                   {daemon_id{name}, {"10.0.0.1", 7000}, domain_id{"a"}, {}}) {
         follower.use_feed(feed);
         follower.on_delta([this](store_delta delta) { deltas.push_back(std::move(delta)); });
     }
@@ -56,10 +56,12 @@
 struct registry_feed_fixture {
     manual_clock time;
     test_support::memory_store store{time};
-    test_daemon relay{time, store, "d1"};
-    test_daemon receiver{time, store, "d2"};
+    test_daemon relay;
+    test_daemon receiver;
 
-    registry_feed_fixture() {
+    registry_feed_fixture() : registry_feed_fixture(make_options()) {}
+    explicit registry_feed_fixture(const follower_options& options)
+        : relay(time, store, "d1", options), receiver(time, store, "d2", options) {
         time.advance(1h);
         put("config", "1");
         static_cast<void>(relay.follower.poll().value());
@@ -91,6 +93,16 @@
     }
 };
 
+/// Followers that are told how long an outage must last for entries to lapse.
+struct interruption_fixture : registry_feed_fixture {
+    interruption_fixture() : registry_feed_fixture(make_interruption_options()) {}
+    static follower_options make_interruption_options() {
+        follower_options made = make_options();
+        made.min_outage = feed_timeout;
+        return made;
+    }
+};
+
 } // namespace
 
 TEST_CASE_FIXTURE(registry_feed_fixture,
@@ -197,6 +209,48 @@
     CHECK(update.grace_ends_at <= offered_at + 2400ms);
 }
 
+TEST_CASE_FIXTURE(registry_feed_fixture,
+                  "poll, grace period of an earlier delta, does not extend to later removals") {
+    put("s/b", "x");
+    erase_after_outage("s/a");
+    REQUIRE(relay_delta().grace_ends_at > time.now());
+    erase("s/b");
+    const registry_update update = relay_delta();
+    CHECK(update.absent == std::vector{backend_id{"b"}});
+    CHECK(update.grace_ends_at <= time.now());
+}
+
+TEST_CASE_FIXTURE(interruption_fixture,
+                  "poll, outage of the relay alone, receiver keeps no removed entry") {
+    put("s/a", "x");
+    static_cast<void>(relay_delta());
+    store.set_fault(store_fault::unavailable);
+    time.advance(4s);
+    REQUIRE_FALSE(relay.follower.poll());
+    store.set_fault(store_fault::none);
+    // The feed has timed out, so the receiver reads the store itself.
+    static_cast<void>(receiver.follower.poll().value());
+    erase("s/a");
+    const registry_update update = relay_delta();
+    CHECK(update.is_relayed);
+    CHECK(update.absent == std::vector{backend_id{"a"}});
+    CHECK(update.grace_ends_at <= time.now());
+}
+
+TEST_CASE_FIXTURE(interruption_fixture,
+                  "poll, outage that the receiver has not read through, keeps removed entries") {
+    put("s/a", "x");
+    static_cast<void>(relay_delta());
+    store.set_fault(store_fault::unavailable);
+    time.advance(4s);
+    REQUIRE_FALSE(relay.follower.poll());
+    store.set_fault(store_fault::none);
+    erase("s/a");
+    const registry_update update = relay_delta();
+    CHECK(update.is_relayed);
+    CHECK(update.grace_ends_at > time.now() + 2s);
+}
+
 TEST_CASE_FIXTURE(registry_feed_fixture, "offer, daemon relays to others, discards the delta") {
     static_cast<void>(relay.follower.poll().value());
     receiver.feed.offer(relay.deltas.back());
--- a/test/gateway/gateway_test.cpp
+++ b/test/gateway/gateway_test.cpp
@@ -336,6 +336,21 @@
     CHECK(executions("shop-1") == before);
 }
 
+TEST_CASE_FIXTURE(gateway_fixture,
+                  "server, entry removed just after an outage of the store, gets no requests after "
+                  "the drain bound") {
+    stub.set_store_mode(test_support::store_mode::busy);
+    REQUIRE(eventually([this] { return has_logged("store.lost"); }));
+    std::this_thread::sleep_for(1s);
+    stub.set_store_mode(test_support::store_mode::normal);
+    REQUIRE(eventually([this] { return has_logged_after("store.lost", "store.reached"); }));
+    stub.erase_entry("shop-1");
+    std::this_thread::sleep_for(configured.bounds.drain);
+    const std::size_t before = executions("shop-1");
+    CHECK(status_of(call("GET", "/plain/x")) == 503);
+    CHECK(executions("shop-1") == before);
+}
+
 TEST_CASE_FIXTURE(gateway_fixture,
                   "store unresponsive, configuration loaded, requests are still served") {
     stub.set_store_mode(test_support::store_mode::unresponsive);
--- a/test/settings/gateway_settings_test.cpp
+++ b/test/settings/gateway_settings_test.cpp
@@ -32,6 +32,7 @@
         {"limits.maxFds|json", "4100"},
         {"bounds.drainMs|json", "2000"},
         {"bounds.configApplyMs|json", "2000"},
+        {"bounds.stableMs|json", "2500"},
         {"bounds.graceS|json", "8"},
         {"bounds.retryBudgetRatio|json", "0.2"},
         {"bounds.budgetExtra|json", "54"},
@@ -69,6 +70,7 @@
     CHECK(read.value.store.address == "10.200.1.7:8142");
     CHECK(read.value.limits.memory_mb == 110);
     CHECK(read.value.bounds.drain == 2000ms);
+    CHECK(read.value.bounds.settling == 2500ms);
     CHECK(read.value.bounds.shutdown == 8s);
     CHECK(read.value.bounds.retry_ratio == doctest::Approx(0.2));
     CHECK(read.value.bounds.retry_extra == 54);
--- a/test/support/gateway_fixture.hpp
+++ b/test/support/gateway_fixture.hpp
@@ -116,6 +116,11 @@
         const std::lock_guard lock{log_mutex};
         return log.find(text) != std::string::npos;
     }
+    [[nodiscard]] bool has_logged_after(const std::string& first, const std::string& text) {
+        const std::lock_guard lock{log_mutex};
+        const std::size_t at = log.rfind(first);
+        return at != std::string::npos && log.find(text, at) != std::string::npos;
+    }
     [[nodiscard]] bool is_ready() const {
         const raw_caller asks{http::parse_endpoint(configured.readiness).value()};
         asks.send("GET /cicadahatch/readiness HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n");
--- a/test/support/memory_store.cpp
+++ b/test/support/memory_store.cpp
@@ -268,6 +268,7 @@
     if (from.value() <= compacted_) {
         return failure(errc::compacted);
     }
+    last_wait_ = wait;
     change_batch batch = changes_since(prefix, from);
     if (batch.changes.empty() && wait.count() > 0) {
         changed_.wait_for(lock, wait);
--- a/test/support/memory_store.hpp
+++ b/test/support/memory_store.hpp
@@ -28,6 +28,8 @@
     void set_faults(std::function<store_fault(std::uint64_t)> chosen);
     /// \brief Every call meets this fault until told otherwise.
     void set_fault(store_fault fault);
+    /// \returns how long the last watch was to wait for changes
+    [[nodiscard]] std::chrono::milliseconds last_wait() const { return last_wait_; }
     /// \brief Forgets history up to the present, so that older watches get errc::compacted.
     void compact();
     [[nodiscard]] std::uint64_t calls() const;
@@ -71,6 +73,7 @@
     std::uint64_t revision_ = 1;
     std::uint64_t compacted_ = 0;
     std::uint64_t next_lease_ = 1;
+    std::chrono::milliseconds last_wait_{0};
     std::uint64_t calls_ = 0;
     std::uint64_t writes_ = 0;
 };
