Callers: TRACE with a body is rejected, exceptions no longer leave requests counted

Cause: Beast's prepare_payload() throws for such a message; the exception leaves the coroutine between counting the request in and out, and nothing logs it. Ruled out: the end of the process (the exception stays within the connection's coroutine). Change: 400 for TRACE with a body (RFC 9110, 9.3.8); the counts end with their scope; an exception that ends a connection is logged (caller.failed). Test: gateway.gateway, "TRACE request"; before: no answer (status 0 in place of 400), after: 400.

--- a/src/forwarding/caller_connection.cpp
+++ b/src/forwarding/caller_connection.cpp
@@ -43,6 +43,29 @@
     return message;
 }
 
+/// Counts a request in progress and its body until the end of the scope, also if an exception ends
+/// it.
+class running_request {
+public:
+    running_request(gateway_state& state, std::size_t body_bytes)
+        : state_(state), body_bytes_(body_bytes) {
+        state_.buffered_bytes += body_bytes_;
+        ++state_.running_requests;
+    }
+    running_request(const running_request&) = delete;
+    running_request& operator=(const running_request&) = delete;
+    running_request(running_request&&) = delete;
+    running_request& operator=(running_request&&) = delete;
+    ~running_request() {
+        --state_.running_requests;
+        state_.buffered_bytes -= body_bytes_;
+    }
+
+private:
+    gateway_state& state_;
+    std::size_t body_bytes_;
+};
+
 } // namespace
 
 caller_connection::caller_connection(gateway_state& state, tcp::socket socket)
@@ -146,6 +169,11 @@
         co_return false;
     }
     message->body() = std::move(parser.get().body());
+    // RFC 9110, 9.3.8; Beast throws on sending such a request.
+    if (message->method() == beast_http::verb::trace && !message->body().empty()) {
+        co_await reject(beast_http::make_error_code(beast_http::error::bad_method));
+        co_return false;
+    }
     co_return true;
 }
 
@@ -165,12 +193,8 @@
         co_await send(admitted.rejection);
         co_return is_keep_alive_;
     }
-    const std::size_t buffered = admitted.request->message.body().size();
-    state_.buffered_bytes += buffered;
-    ++state_.running_requests;
+    const running_request running{state_, admitted.request->message.body().size()};
     co_await run_request(admitted.request);
-    --state_.running_requests;
-    state_.buffered_bytes -= buffered;
     co_return is_keep_alive_ && !is_aborted_;
 }
 
--- a/src/gateway/internal/gateway_daemon_impl.cpp
+++ b/src/gateway/internal/gateway_daemon_impl.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <csignal>
+#include <exception>
 
 namespace cicadahatch::gateway {
 
@@ -252,7 +253,19 @@
         std::make_shared<forwarding::caller_connection>(state_, std::move(socket));
     callers_.add(accepted);
     asio::co_spawn(
-        loop_, [accepted] { return accepted->serve(); }, asio::detached);
+        loop_, [accepted] { return accepted->serve(); },
+        [this](const std::exception_ptr& thrown) { log_caller_exception(thrown); });
+}
+
+void gateway_daemon::impl::log_caller_exception(const std::exception_ptr& thrown) {
+    if (!thrown) {
+        return;
+    }
+    try {
+        std::rethrow_exception(thrown);
+    } catch (const std::exception& exception) {
+        log_.write(weight::notable, "caller.failed", {{"error", exception.what()}});
+    }
 }
 
 bool gateway_daemon::impl::is_ready() const {
--- a/src/gateway/internal/gateway_daemon_impl.hpp
+++ b/src/gateway/internal/gateway_daemon_impl.hpp
@@ -15,6 +15,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <exception>
 #include <memory>
 #include <string>
 #include <thread>
@@ -38,6 +39,7 @@
 
 private:
     void accept_caller(forwarding::tcp::socket socket);
+    void log_caller_exception(const std::exception_ptr& thrown);
     [[nodiscard]] page readiness_page(std::string_view path) const;
     [[nodiscard]] page metrics_page();
     [[nodiscard]] std::size_t count_limited_backends() const;
--- a/test/gateway/gateway_test.cpp
+++ b/test/gateway/gateway_test.cpp
@@ -312,6 +312,12 @@
     CHECK(executions("shop-1") == requests);
 }
 
+TEST_CASE_FIXTURE(gateway_fixture, "TRACE request, with a body, is rejected") {
+    const std::string answer = call("TRACE", "/book/x", {}, "b");
+    CHECK(status_of(answer) == 400);
+    CHECK(executions("shop-1") == 0);
+}
+
 TEST_CASE_FIXTURE(gateway_fixture, "request, no matching route, gets 404") {
     CHECK(status_of(call("GET", "/none/x")) == 404);
 }
