Tests: a response closed within its head never looks complete

It can't happen here: the parser takes the end of a connection within a head for an error, on the first exchange of a connection as on later ones. gateway.backend_answers now closes at each byte of a plain response's head and at every third of a stream's.

--- a/test/gateway/backend_answers_test.cpp
+++ b/test/gateway/backend_answers_test.cpp
@@ -139,6 +139,34 @@
     CHECK(status_of(answer) == 502);
 }
 
+TEST_CASE_FIXTURE(backend_answers_fixture,
+                  "response, connection closed within its head, never looks complete") {
+    constexpr std::size_t head_bytes = 100;
+    for (std::size_t cut = 1; cut < head_bytes; ++cut) {
+        INFO(cut);
+        engine_script cutting;
+        cutting.cut_after_bytes = cut;
+        stub.set_script("shop-1", cutting);
+        CHECK(status_of(call("POST", "/book/x", {}, "b")) == 502);
+        stub.set_script("shop-1", engine_script{});
+        REQUIRE(eventually([this] { return status_of(call("GET", "/plain/warm")) == 200; }));
+    }
+}
+
+TEST_CASE_FIXTURE(backend_answers_fixture,
+                  "stream, connection closed within its head, never looks complete") {
+    constexpr std::size_t head_bytes = 130;
+    for (std::size_t cut = 1; cut < head_bytes; cut += 3) {
+        INFO(cut);
+        engine_script cutting;
+        cutting.cut_after_bytes = cut;
+        stub.set_script("x-1", cutting);
+        const std::string answer = call("POST", "/stream/x", stream_head(), "prompt");
+        CHECK(status_of(answer) != 200);
+        CHECK_FALSE(answer.ends_with("0\r\n\r\n"));
+    }
+}
+
 TEST_CASE_FIXTURE(backend_answers_fixture,
                   "stream, endless event, is aborted before it exhausts memory") {
     engine_script endless;
--- a/test/support/platform_stub.cpp
+++ b/test/support/platform_stub.cpp
@@ -326,6 +326,18 @@
         co_return !error;
     }
 
+    /// Sends the bytes, or closes the connection after those that the script allows.
+    static asio::awaitable<void> send_or_cut(tcp::socket& socket, std::string bytes,
+                                             const engine_script& script) {
+        if (script.cut_after_bytes == 0) {
+            co_await send(socket, std::move(bytes));
+            co_return;
+        }
+        co_await send(socket, bytes.substr(0, script.cut_after_bytes));
+        net_error ignored;
+        socket.close(ignored);
+    }
+
     static std::string status_fields(const engine_script& script, bool is_refusal) {
         const bool states_time = is_refusal && script.retry_after_s > 0;
         const std::string leaving = script.reports_leaving ? "Server-Leaving: 1\r\n" : "";
@@ -377,9 +389,14 @@
         const std::string mark =
             std::string{signature_field} + ": s\r\n" + status_fields(script, false);
         const std::string body = "whole answer";
+        if (script.plain_delay > 0ms) {
+            asio::steady_timer pause{loop, script.plain_delay};
+            net_error ignored;
+            co_await pause.async_wait(capture_error(ignored));
+        }
         switch (script.plain) {
         case plain_answer::normal:
-            co_await send(socket, answer_text(id, 200, mark, body));
+            co_await send_or_cut(socket, answer_text(id, 200, mark, body), script);
             co_return;
         case plain_answer::not_run:
             co_await send(socket, answer_text(id, 503,
@@ -483,10 +500,14 @@
         const bool is_chunked = script.framing == stream_framing::chunked;
         const std::string framing = is_chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n";
         const unsigned first = after.empty() ? 0 : static_cast<unsigned>(std::stoul(after)) + 1;
-        co_await send(socket, "HTTP/1.1 200 OK\r\n" + std::string{attempt_field} + ": " + id +
-                                  "\r\n" + signature_field + ": s-" + engine.id + "\r\n" +
-                                  status_fields(script, false) +
-                                  "Content-Type: text/event-stream\r\n" + framing);
+        const std::string head = "HTTP/1.1 200 OK\r\n" + std::string{attempt_field} + ": " + id +
+                                 "\r\n" + signature_field + ": s-" + engine.id + "\r\n" +
+                                 status_fields(script, false) +
+                                 "Content-Type: text/event-stream\r\n" + framing;
+        co_await send_or_cut(socket, head, script);
+        if (!socket.is_open()) {
+            co_return false;
+        }
         asio::steady_timer pause{loop};
         net_error error;
         if (holds_crash_part(asked, script)) {
--- a/test/support/platform_stub.hpp
+++ b/test/support/platform_stub.hpp
@@ -41,6 +41,11 @@
         hang                     ///< never responds
     };
     plain_answer plain = plain_answer::normal;
+    /// Bytes of a plain answer or of the head of a stream after which the engine closes the
+    /// connection; zero: sends all.
+    std::size_t cut_after_bytes = 0;
+    /// Time from the request to a plain answer.
+    std::chrono::milliseconds plain_delay{0};
     bool reports_leaving = false;         ///< in every response, whatever its entry states
     unsigned retry_after_s = 0;           ///< sent with refusals; zero: not sent
     double request_limit = 0;             ///< requests a second, in every response; zero: none
