Gateway: signals during the start are kept until they can be handled

Cause: signals were taken in run(), after libraries, settings and listeners. Ruled out: an error of the reload (the process ends before it has read its settings). Change: SIGTERM, SIGINT and SIGHUP are blocked from the first line of main, handlers are installed by build(), and the program unblocks them after it. A signal during loading, before main, still ends the process.

--- a/programs/cicadahatchd.cpp
+++ b/programs/cicadahatchd.cpp
@@ -14,7 +14,7 @@
 /// \file
 /// \brief The daemon: reads its settings, serves until SIGTERM or SIGINT, then shuts down
 /// gracefully. A second signal ends it at once. With --gateway it serves the backend servers that
-/// are registered in the users' platform.
+/// are registered in the users' platform; SIGHUP reloads the settings there.
 
 namespace {
 
@@ -42,11 +42,13 @@
     return described;
 }
 
+/// Keeps signals pending until they can be handled.
 sigset_t block_signals() {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     // NOLINTNEXTLINE(cppcoreguidelines-pro-type-cstyle-cast): the C library's macro has the cast
     std::signal(SIGPIPE, SIG_IGN);
@@ -68,7 +70,7 @@
     pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
 }
 
-int run_gateway(const arguments& given) {
+int run_gateway(const arguments& given, const sigset_t& signals) {
     const auto loaded = settings::load_gateway_settings(given.settings_file);
     for (const settings::field_error& fault : loaded.errors) {
         std::cerr << to_string(fault) << "\n";
@@ -76,8 +78,6 @@
     if (!loaded.is_valid() || given.is_check_only) {
         return loaded.is_valid() ? exit_ok : exit_failed;
     }
-    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-cstyle-cast): the C library's macro has the cast
-    std::signal(SIGPIPE, SIG_IGN);
     const system_clock time;
     const boot_clock lease_time;
     const auto running = gateway::gateway_builder{}
@@ -92,6 +92,7 @@
         std::cerr << "cicadahatchd: can't start: " << running.error().message() << "\n";
         return exit_failed;
     }
+    pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
     const bool is_whole = (*running)->run();
     // A call to the store that is under way must not hold up the end.
     std::_Exit(is_whole ? exit_ok : exit_cut_off);
@@ -109,7 +110,11 @@
         to_string((*running)->admin_place()).c_str(), to_string((*running)->peers_place()).c_str());
     std::fflush(stdout);
     int received = 0;
-    sigwait(&signals, &received);
+    do {
+        sigwait(&signals, &received);
+    } while (received == SIGHUP); // There is nothing to reload.
+    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-cstyle-cast): the C library's macro has the cast
+    std::signal(SIGHUP, SIG_IGN);
     allow_second_signal(signals);
     const bool is_whole = (*running)->shut_down();
     google::FlushLogFiles(google::INFO);
@@ -121,6 +126,7 @@
 
 // NOLINTNEXTLINE(bugprone-exception-escape): only lack of memory is left to escape
 int main(int argc, char** argv) {
+    const sigset_t signals = block_signals();
     cxxopts::Options described = describe();
     arguments given;
     try {
@@ -138,7 +144,7 @@
         return exit_usage;
     }
     if (given.is_gateway) {
-        return run_gateway(given);
+        return run_gateway(given, signals);
     }
     const auto configured = settings::load_daemon_settings(given.settings_file);
     for (const settings::field_error& fault : configured.errors) {
@@ -150,7 +156,6 @@
     if (given.is_check_only) {
         return exit_ok;
     }
-    const sigset_t signals = block_signals();
     start_logging(argv[0], configured.value);
     return serve(configured.value, signals);
 }
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -65,6 +65,7 @@
     gateway_builder& platform(platform_binding binding);
     gateway_builder& log_output(logging::event_log::output output);
 
+    /// \brief Opens the listeners. From then on signals are kept until run().
     /// \returns a listening daemon, or the error
     [[nodiscard]] result<std::unique_ptr<gateway_daemon>> build() const;
 
--- a/src/gateway/internal/gateway_daemon_impl.cpp
+++ b/src/gateway/internal/gateway_daemon_impl.cpp
@@ -135,6 +135,9 @@
 }
 
 result<void> gateway_daemon::impl::open() {
+    for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
+        signals_.add(number);
+    }
     const auto store_place = http::parse_endpoint(configured_.store.address);
     const auto callers = http::parse_endpoint(configured_.callers);
     const auto readiness = http::parse_endpoint(configured_.readiness);
@@ -212,9 +215,6 @@
 }
 
 bool gateway_daemon::impl::run() {
-    for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
-        signals_.add(number);
-    }
     log_.write(weight::notable, "daemon.started",
                {{"domain", configured_.domain.str()},
                 {"callers", configured_.callers},
--- /dev/null
+++ b/test/gateway/gateway_signals_process_test.cpp
@@ -0,0 +1,63 @@
+#include "test/support/gateway_process.hpp"
+
+#include <csignal>
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <sys/stat.h>
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace cicadahatch;
+using test_support::engine_script;
+using test_support::eventually;
+using test_support::gateway_fixture;
+using test_support::process;
+
+struct gateway_signals_fixture : test_support::gateway_process_fixture {
+    gateway_signals_fixture() {
+        static_cast<void>(
+            std::signal(SIGPIPE, SIG_IGN)); // NOLINT(cppcoreguidelines-pro-type-cstyle-cast)
+        configured.bounds.shutdown = 4s;
+        write_settings();
+    }
+    /// Starts the daemon and sends the signal while it reads its settings.
+    [[nodiscard]] process start_with_signal(int signal) const {
+        const std::string settings_file = folder / "settings.json";
+        std::ifstream stored{settings_file};
+        const std::string text{std::istreambuf_iterator<char>{stored}, {}};
+        std::filesystem::remove(settings_file);
+        REQUIRE(mkfifo(settings_file.c_str(), S_IRUSR | S_IWUSR) == 0);
+        process started = start();
+        int pipe = -1;
+        REQUIRE(eventually([&] {
+            pipe = open(settings_file.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+            return pipe >= 0;
+        }));
+        started.send_signal(signal);
+        std::this_thread::sleep_for(50ms);
+        std::filesystem::remove(settings_file);
+        write_settings(); // For the reload.
+        static_cast<void>(write(pipe, text.data(), text.size()));
+        close(pipe);
+        return started;
+    }
+    [[nodiscard]] std::string call(const std::string& method, const std::string& target) const {
+        const test_support::raw_caller caller{callers()};
+        caller.send(gateway_fixture::request(method, target, "Connection: close\r\n"));
+        return caller.receive_all();
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(gateway_signals_fixture, "SIGHUP, during the start, does not end the daemon") {
+    const process daemon = start_with_signal(SIGHUP);
+    REQUIRE(eventually([this] { return is_serving(); }));
+    CHECK(call("GET", "/plain/x").starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE_FIXTURE(gateway_signals_fixture, "SIGTERM, during the start, ends with exit status 0") {
+    process daemon = start_with_signal(SIGTERM);
+    CHECK(daemon.wait() == 0);
+}
--- a/test/support/process.cpp
+++ b/test/support/process.cpp
@@ -21,6 +21,7 @@
 
 constexpr int ready_timeout_ms = 20'000;
 constexpr int signal_status = 128;
+constexpr mode_t output_mode = 0644;
 
 std::vector<char*> to_argv(const std::vector<std::string>& arguments) {
     std::vector<char*> argv;
@@ -52,21 +53,34 @@
     std::array<int, 2> pipe_ends{};
     const int piped = pipe2(pipe_ends.data(), O_CLOEXEC);
     require(piped == 0, "pipe_is_open");
+    spawn(arguments, pipe_ends[1], output);
+    close(pipe_ends[1]);
+    read_ready_line(pipe_ends[0]);
+    close(pipe_ends[0]);
+}
+
+process process::start(const std::vector<std::string>& arguments, const std::string& output) {
+    const int file = open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, output_mode);
+    require(file >= 0, "output_is_open");
+    process started;
+    started.spawn(arguments, file, output);
+    close(file);
+    return started;
+}
+
+void process::spawn(const std::vector<std::string>& arguments, int output,
+                    const std::string& errors) {
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_adddup2(&actions, pipe_ends[1], STDOUT_FILENO);
-    if (!output.empty()) {
-        constexpr mode_t mode = 0644;
-        posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, output.c_str(),
-                                         O_WRONLY | O_CREAT | O_APPEND, mode);
+    posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
+    if (!errors.empty()) {
+        posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, errors.c_str(),
+                                         O_WRONLY | O_CREAT | O_APPEND, output_mode);
     }
     std::vector<char*> argv = to_argv(arguments);
     const int spawned = posix_spawn(&id_, argv.front(), &actions, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
-    close(pipe_ends[1]);
     require(spawned == 0, "program_is_started");
-    read_ready_line(pipe_ends[0]);
-    close(pipe_ends[0]);
 }
 
 process::process(process&& other) noexcept
--- a/test/support/process.hpp
+++ b/test/support/process.hpp
@@ -20,6 +20,10 @@
     /// \param arguments the program's path first
     /// \param output file for standard error; empty: that of the test
     explicit process(const std::vector<std::string>& arguments, const std::string& output = {});
+    /// \brief Starts a program that prints no ready line, without waiting for it.
+    /// \param output file for standard output and standard error
+    [[nodiscard]] static process start(const std::vector<std::string>& arguments,
+                                       const std::string& output);
     process(process&& other) noexcept;
     process& operator=(process&& other) noexcept;
     process(const process&) = delete;
@@ -39,6 +43,8 @@
     int wait();
 
 private:
+    process() = default;
+    void spawn(const std::vector<std::string>& arguments, int output, const std::string& errors);
     void read_ready_line(int descriptor);
 
     pid_t id_ = -1;
