Gateway: a start waits for addresses that a previous process still holds

Cause: one attempt to listen. Change: errc::address_in_use is told apart; the program builds the daemon again every 200 ms until the previous process must have ended (shutdown bound and a second) or SIGTERM or SIGINT is pending, which ends it with status 0. listener.failed logs address and reason. Tests: gateway.gateway_signals_process, "previous process still holds" and "while the daemon waits"; with the daemon before both fail (ends with status 1).

--- a/programs/cicadahatchd.cpp
+++ b/programs/cicadahatchd.cpp
@@ -2,6 +2,7 @@
 #include "cicadahatch/serving"
 #include "cicadahatch/settings"
 #include "platform/binding.hpp"
+#include "src/http/error.hpp"
 
 #include <csignal>
 #include <cstdio>
@@ -9,12 +10,14 @@
 #include <glog/logging.h>
 #include <iostream>
 #include <pthread.h>
+#include <thread>
 #include <unistd.h>
 
 /// \file
 /// \brief The daemon: reads its settings, serves until SIGTERM or SIGINT, then shuts down
 /// gracefully. A second signal ends it at once. With --gateway it serves the backend servers that
-/// are registered in the users' platform; SIGHUP reloads the settings there.
+/// are registered in the users' platform; SIGHUP reloads
+/// the settings.
 
 namespace {
 
@@ -42,6 +45,12 @@
     return described;
 }
 
+/// Time between two attempts to listen at addresses that another process holds.
+constexpr std::chrono::milliseconds address_retry_delay{200};
+
+/// Time after the shutdown bound in which the platform ends a process and its sockets.
+constexpr std::chrono::milliseconds address_release_time{1000};
+
 /// Keeps signals pending until they can be handled.
 sigset_t block_signals() {
     sigset_t signals;
@@ -70,6 +79,26 @@
     pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
 }
 
+bool is_end_requested() {
+    sigset_t pending;
+    sigpending(&pending);
+    return sigismember(&pending, SIGTERM) == 1 || sigismember(&pending, SIGINT) == 1;
+}
+
+/// Waits while a previous process that is still shutting down holds an address.
+result<std::unique_ptr<gateway::gateway_daemon>>
+build_gateway(const gateway::gateway_builder& builder, const cicadahatch::clock& time,
+              duration patience) {
+    const time_point gives_up_at = time.now() + patience;
+    auto built = builder.build();
+    while (!built && built.error() == http::errc::address_in_use && time.now() < gives_up_at &&
+           !is_end_requested()) {
+        std::this_thread::sleep_for(address_retry_delay);
+        built = builder.build();
+    }
+    return built;
+}
+
 int run_gateway(const arguments& given, const sigset_t& signals) {
     const auto loaded = settings::load_gateway_settings(given.settings_file);
     for (const settings::field_error& fault : loaded.errors) {
@@ -80,17 +109,18 @@
     }
     const system_clock time;
     const boot_clock lease_time;
-    const auto running = gateway::gateway_builder{}
+    const auto builder = gateway::gateway_builder{}
                              .settings(loaded.value)
                              .settings_file(given.settings_file)
                              .time(time)
                              .lease_time(lease_time)
                              .platform(platform::binding())
-                             .log_output(logging::output_to(STDOUT_FILENO))
-                             .build();
+                             .log_output(logging::output_to(STDOUT_FILENO));
+    const auto running =
+        build_gateway(builder, time, loaded.value.bounds.shutdown + address_release_time);
     if (!running) {
         std::cerr << "cicadahatchd: can't start: " << running.error().message() << "\n";
-        return exit_failed;
+        return is_end_requested() ? exit_ok : exit_failed;
     }
     pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
     const bool is_whole = (*running)->run();
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -66,7 +66,8 @@
     gateway_builder& log_output(logging::event_log::output output);
 
     /// \brief Opens the listeners. From then on signals are kept until run().
-    /// \returns a listening daemon, or the error
+    /// \returns a listening daemon, or the error; http::errc::address_in_use if another process
+    /// listens at one of the addresses
     [[nodiscard]] result<std::unique_ptr<gateway_daemon>> build() const;
 
 private:
--- a/src/gateway/internal/gateway_daemon_impl.cpp
+++ b/src/gateway/internal/gateway_daemon_impl.cpp
@@ -134,6 +134,16 @@
     state_.placements = &placements_;
 }
 
+template <class Listener>
+result<void> gateway_daemon::impl::open_listener(Listener& listening, const http::endpoint& place) {
+    auto opened = listening.open(place);
+    if (!opened) {
+        log_.write(weight::notable, "listener.failed",
+                   {{"address", http::to_string(place)}, {"error", opened.error().message()}});
+    }
+    return opened;
+}
+
 result<void> gateway_daemon::impl::open() {
     for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
         signals_.add(number);
@@ -156,19 +166,19 @@
         return opened;
     }
     open_lease_manager(*store_place);
-    if (const auto opened = home_server_.open(*peers); !opened) {
+    if (const auto opened = open_listener(home_server_, *peers); !opened) {
         return opened;
     }
-    if (const auto opened = caller_listener_.open(*callers); !opened) {
+    if (const auto opened = open_listener(caller_listener_, *callers); !opened) {
         return opened;
     }
     if (!configured_.metrics.empty()) {
         const auto metrics = http::parse_endpoint(configured_.metrics);
-        if (const auto opened = metrics_listener_.open(*metrics); !opened) {
+        if (const auto opened = open_listener(metrics_listener_, *metrics); !opened) {
             return opened;
         }
     }
-    return readiness_listener_.open(*readiness);
+    return open_listener(readiness_listener_, *readiness);
 }
 
 result<void> gateway_daemon::impl::open_follower(const http::endpoint& peers) {
@@ -184,7 +194,7 @@
         if (!registry) {
             return tl::unexpected(registry.error());
         }
-        if (const auto opened = publisher_.open(*registry); !opened) {
+        if (const auto opened = open_listener(publisher_, *registry); !opened) {
             return opened;
         }
         self.registry_address = *registry;
--- a/src/gateway/internal/gateway_daemon_impl.hpp
+++ b/src/gateway/internal/gateway_daemon_impl.hpp
@@ -30,6 +30,8 @@
          const platform_binding& binding, logging::event_log::output output);
 
     [[nodiscard]] result<void> open();
+    template <class Listener>
+    [[nodiscard]] result<void> open_listener(Listener& listening, const http::endpoint& place);
     [[nodiscard]] result<void> open_follower(const http::endpoint& peers);
     void open_lease_manager(const http::endpoint& store_place);
     [[nodiscard]] bool run();
--- a/src/gateway/listener.cpp
+++ b/src/gateway/listener.cpp
@@ -44,7 +44,9 @@
         acceptor_.listen(listen_backlog, error);
     }
     if (error) {
-        return failure(http::errc::server_not_started);
+        close();
+        return failure(error == asio::error::address_in_use ? http::errc::address_in_use
+                                                            : http::errc::server_not_started);
     }
     accept();
     return {};
--- a/src/http/error.cpp
+++ b/src/http/error.cpp
@@ -31,6 +31,8 @@
             return "line too long";
         case errc::server_not_started:
             return "listener not opened";
+        case errc::address_in_use:
+            return "address in use by another process";
         }
         return "unknown";
     }
--- a/test/gateway/gateway_signals_process_test.cpp
+++ b/test/gateway/gateway_signals_process_test.cpp
@@ -61,3 +61,28 @@
     process daemon = start_with_signal(SIGTERM);
     CHECK(daemon.wait() == 0);
 }
+
+TEST_CASE_FIXTURE(gateway_signals_fixture,
+                  "start, previous process still holds the addresses, serves after its end") {
+    process previous = start();
+    REQUIRE(eventually([this] { return is_serving(); }));
+    const process next = start();
+    REQUIRE(eventually([this] { return has_logged("listener.failed"); }));
+    CHECK(has_logged("\"address\":\"" + configured.peers + "\""));
+    CHECK(has_logged("address in use"));
+    previous.send_signal(SIGTERM);
+    CHECK(previous.wait() == 0);
+    REQUIRE(eventually([this] { return count_logged("\"ready\":true") == 2; }));
+    CHECK(call("GET", "/plain/x").starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE_FIXTURE(gateway_signals_fixture,
+                  "SIGTERM, while the daemon waits for its addresses, ends with exit status 0") {
+    const process previous = start();
+    REQUIRE(eventually([this] { return is_serving(); }));
+    process next = start();
+    REQUIRE(eventually([this] { return has_logged("listener.failed"); }));
+    next.send_signal(SIGTERM);
+    CHECK(next.wait() == 0);
+    CHECK(call("GET", "/plain/x").starts_with("HTTP/1.1 200"));
+}
