Gateway: a repeated SIGTERM cuts no running request

Cause: any second signal ended it, meant for a user at a terminal. Change: that holds for SIGINT only; a repeated SIGTERM is logged and changes nothing. Test: gateway.gateway_signals_process, "repeated within the shutdown"; before: stream cut, status 3.

--- a/programs/cicadahatchd.cpp
+++ b/programs/cicadahatchd.cpp
@@ -16,7 +16,7 @@
 /// \file
 /// \brief The daemon: reads its settings, serves until SIGTERM or SIGINT, then shuts down
 /// gracefully. A second signal ends it at once. With --gateway it serves the backend servers that
-/// are registered in the users' platform; SIGHUP reloads
+/// are registered in the users' platform; a second SIGTERM changes nothing there, SIGHUP reloads
 /// the settings.
 
 namespace {
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -35,7 +35,8 @@
     gateway_daemon& operator=(gateway_daemon&&) = delete;
     ~gateway_daemon();
 
-    /// \brief Serves until SIGTERM or SIGINT, then finishes the requests in progress.
+    /// \brief Serves until SIGTERM or SIGINT, then finishes the requests in progress. A second
+    /// SIGINT ends it at once.
     /// \returns whether every request ended before the shutdown timeout
     bool run();
 
--- a/src/gateway/internal/gateway_daemon_impl.cpp
+++ b/src/gateway/internal/gateway_daemon_impl.cpp
@@ -368,11 +368,12 @@
     log_.write(weight::notable, "daemon.signal", {{"signal", signal_name(number)}});
     if (number == SIGHUP) {
         reload();
-    } else if (state_.is_stopping) {
+    } else if (!state_.is_stopping) {
+        start_shutdown();
+    } else if (number == SIGINT) {
+        // Only a user at the terminal asks twice; a repeated SIGTERM cuts nothing off.
         is_graceful_ = state_.running_requests == 0;
         loop_.stop();
-    } else {
-        start_shutdown();
     }
 }
 
--- a/test/gateway/gateway_signals_process_test.cpp
+++ b/test/gateway/gateway_signals_process_test.cpp
@@ -86,3 +86,23 @@
     CHECK(next.wait() == 0);
     CHECK(call("GET", "/plain/x").starts_with("HTTP/1.1 200"));
 }
+
+TEST_CASE_FIXTURE(gateway_signals_fixture,
+                  "SIGTERM, repeated within the shutdown, cuts no running stream") {
+    engine_script slow;
+    slow.events = 100;
+    slow.event_gap = 20ms;
+    stub.set_script("x-1", slow);
+    process daemon = start();
+    REQUIRE(eventually([this] { return is_serving(); }));
+    const test_support::raw_caller caller{callers()};
+    caller.send(
+        gateway_fixture::request("POST", "/stream/x", gateway_fixture::stream_head(), "prompt"));
+    static_cast<void>(caller.receive_until("id: 1\n"));
+    for (int times = 0; times < 5; ++times) {
+        daemon.send_signal(SIGTERM);
+        std::this_thread::sleep_for(100ms);
+    }
+    CHECK(caller.receive_until("0\r\n\r\n").find("id: 99\n") != std::string::npos);
+    CHECK(daemon.wait() == 0);
+}
