Gateway: the end of a shutdown waits for callers' connections

Change: the shutdown ends when the connections are closed too, at most at its bound. A connection with unread bytes is not closed as idle, neither in a shutdown nor for room, and a request that arrives as the idle time ends is served. Test: gateway.gateway_signals_process, "callers on kept connections until the process is gone": 8 callers, each executed request is answered, requests too late are refused. It passes with the daemon before as well: on loopback the loss was not reproduced. This also is the test for the report on requests taken late in the grace: they are refused with 503 and not passed on.

--- a/src/forwarding/caller_connection.cpp
+++ b/src/forwarding/caller_connection.cpp
@@ -103,10 +103,17 @@
     socket_.close(ignored);
 }
 
-void caller_connection::close_if_idle() {
-    if (is_idle_ && buffer_.size() == 0) {
+bool caller_connection::has_unread_bytes() const {
+    net_error ignored; // A socket that can't tell has none.
+    return buffer_.size() > 0 || socket_.available(ignored) > 0;
+}
+
+bool caller_connection::close_if_idle() {
+    // Closing a socket with unread bytes resets the connection.
+    if (is_idle_ && !has_unread_bytes()) {
         abort();
     }
+    return is_aborted_;
 }
 
 asio::awaitable<bool> caller_connection::wait_for_request() {
@@ -119,7 +126,8 @@
     co_await socket_.async_wait(tcp::socket::wait_read, capture_error(error));
     stop_timeout();
     is_idle_ = false;
-    co_return !error && !is_aborted_;
+    // A request may arrive just as the idle time ends.
+    co_return !is_aborted_ && (!error || has_unread_bytes());
 }
 
 asio::awaitable<void> caller_connection::reject(const net_error& error) {
--- a/src/forwarding/caller_connection.hpp
+++ b/src/forwarding/caller_connection.hpp
@@ -32,8 +32,9 @@
     /// \brief Closes the connection so that a partial response can't look complete.
     void abort();
 
-    /// \brief Closes the connection if no request is in progress.
-    void close_if_idle();
+    /// \brief Closes the connection unless a request is in progress or has begun to arrive.
+    /// \returns whether the connection is closed
+    bool close_if_idle();
     [[nodiscard]] bool is_idle() const noexcept { return is_idle_; }
     /// \returns whether a complete response to the current request has been sent
     [[nodiscard]] bool is_response_sent() const noexcept { return is_response_sent_; }
@@ -41,6 +42,7 @@
 private:
     using request_parser = beast_http::request_parser<beast_http::string_body>;
 
+    [[nodiscard]] bool has_unread_bytes() const;
     [[nodiscard]] asio::awaitable<bool> wait_for_request();
     [[nodiscard]] asio::awaitable<bool> serve_request();
     [[nodiscard]] asio::awaitable<bool> read_request(request_parser& parser,
--- a/src/gateway/caller_table.cpp
+++ b/src/gateway/caller_table.cpp
@@ -28,18 +28,15 @@
     if (connections_.size() < max_size_) {
         return true;
     }
-    const auto idle =
+    const auto closed =
         std::find_if(connections_.begin(), connections_.end(), [](const auto& connection) {
             const auto caller = connection.lock();
-            return caller != nullptr && caller->is_idle();
+            return caller != nullptr && caller->close_if_idle();
         });
-    if (idle == connections_.end()) {
+    if (closed == connections_.end()) {
         return false;
     }
-    if (const auto caller = idle->lock()) {
-        caller->close_if_idle();
-    }
-    connections_.erase(idle);
+    connections_.erase(closed);
     return true;
 }
 
--- a/src/gateway/internal/gateway_daemon_impl.cpp
+++ b/src/gateway/internal/gateway_daemon_impl.cpp
@@ -425,8 +425,11 @@
     const duration stopping = now - stopping_since_;
     if (stopping >= balancer_detection_time) {
         callers_.close_idle();
+        callers_.remove_closed();
     }
-    const bool is_done = stopping >= balancer_detection_time && state_.running_requests == 0;
+    // The exit of the process resets connections whose last response is still on its way.
+    const bool is_done =
+        stopping >= balancer_detection_time && state_.running_requests == 0 && callers_.size() == 0;
     if (is_done || now >= state_.shutdown_deadline) {
         is_graceful_ = state_.running_requests == 0;
         loop_.stop();
--- a/test/gateway/gateway_signals_process_test.cpp
+++ b/test/gateway/gateway_signals_process_test.cpp
@@ -1,5 +1,9 @@
 #include "test/support/gateway_process.hpp"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
 #include <csignal>
 #include <doctest/doctest.h>
 #include <fcntl.h>
@@ -13,6 +17,7 @@
 using test_support::eventually;
 using test_support::gateway_fixture;
 using test_support::process;
+namespace asio = boost::asio;
 
 struct gateway_signals_fixture : test_support::gateway_process_fixture {
     gateway_signals_fixture() {
@@ -49,6 +54,72 @@
     }
 };
 
+/// Callers that send requests on kept connections until the daemon's process is gone.
+struct kept_callers {
+    explicit kept_callers(const http::endpoint& place) : place_(place) {
+        constexpr int count = 8;
+        for (int number = 0; number < count; ++number) {
+            threads_.emplace_back([this] { run(); });
+        }
+    }
+    kept_callers(const kept_callers&) = delete;
+    kept_callers& operator=(const kept_callers&) = delete;
+    kept_callers(kept_callers&&) = delete;
+    kept_callers& operator=(kept_callers&&) = delete;
+    ~kept_callers() { stop(); }
+
+    void stop() {
+        is_stopping_ = true;
+        for (std::thread& thread : threads_) {
+            thread.join();
+        }
+        threads_.clear();
+    }
+    /// \returns the number of complete responses with the status
+    [[nodiscard]] std::size_t answered(int status) {
+        const std::lock_guard lock{mutex_};
+        return answered_[status];
+    }
+
+private:
+    void run() {
+        while (!is_stopping_) {
+            asio::io_context loop;
+            asio::ip::tcp::socket socket{loop};
+            boost::system::error_code error;
+            socket.connect({asio::ip::make_address(place_.host), place_.port}, error);
+            while (!error && !is_stopping_) {
+                error = exchange(socket);
+            }
+            std::this_thread::sleep_for(5ms);
+        }
+    }
+    boost::system::error_code exchange(asio::ip::tcp::socket& socket) {
+        boost::system::error_code error;
+        asio::write(socket, asio::buffer(gateway_fixture::request("POST", "/book/x", {}, "b")),
+                    error);
+        boost::beast::flat_buffer buffer;
+        boost::beast::http::response<boost::beast::http::string_body> response;
+        if (!error) {
+            boost::beast::http::read(socket, buffer, response, error);
+        }
+        if (!error) {
+            const std::lock_guard lock{mutex_};
+            ++answered_[static_cast<int>(response.result_int())];
+        }
+        if (!error && !response.keep_alive()) {
+            error = asio::error::eof;
+        }
+        return error;
+    }
+
+    http::endpoint place_;
+    std::atomic<bool> is_stopping_{false};
+    std::mutex mutex_;
+    std::map<int, std::size_t> answered_;
+    std::vector<std::thread> threads_;
+};
+
 } // namespace
 
 TEST_CASE_FIXTURE(gateway_signals_fixture, "SIGHUP, during the start, does not end the daemon") {
@@ -106,3 +177,21 @@
     CHECK(caller.receive_until("0\r\n\r\n").find("id: 99\n") != std::string::npos);
     CHECK(daemon.wait() == 0);
 }
+
+TEST_CASE_FIXTURE(gateway_signals_fixture,
+                  "SIGTERM, callers on kept connections until the process is gone, every executed "
+                  "request is answered") {
+    engine_script working;
+    working.plain_delay = 150ms;
+    stub.set_script("shop-1", working);
+    process daemon = start();
+    REQUIRE(eventually([this] { return is_serving(); }));
+    kept_callers callers_until_end{callers()};
+    REQUIRE(eventually([&] { return callers_until_end.answered(200) > 20; }));
+    daemon.send_signal(SIGTERM);
+    CHECK(daemon.wait() == 0);
+    callers_until_end.stop();
+    // Late in the shutdown, requests that could not end in time are refused.
+    CHECK(callers_until_end.answered(503) > 0);
+    CHECK(callers_until_end.answered(200) == stub.count("shop-1", "/book/x"));
+}
