--- a/src/discovery/follower.cpp
+++ b/src/discovery/follower.cpp
@@ -122,6 +122,11 @@
     is_unreachable_ = true;
 }
 
+void follower::record_success() {
+    is_unreachable_ = false;
+    last_read_at_ = time_.now();
+}
+
 bool follower::may_have_missed_outage() const {
     return time_.now() - last_read_at_ >= options_.min_outage;
 }
@@ -142,7 +147,7 @@
 result<registry_update> follower::poll_feed() {
     auto delta = feed_->take(options_.relaying_watch_timeout);
     if (!delta) {
-        return complete({}, {});
+        return complete({});
     }
     if (delta->after > watch_.position()) {
         return poll_store(std::chrono::milliseconds{0});
@@ -150,15 +155,15 @@
     // If the store was read meanwhile, only the relay had lost it.
     const time_point grace_ends_at =
         may_have_missed_outage() ? time_.now() + delta->grace_period : time_point{};
-    is_unreachable_ = false;
-    last_read_at_ = time_.now();
+    record_success();
     std::erase_if(delta->changes, [this](const store::change& change) {
         return change.changed.modified <= watch_.position();
     });
     watch_.skip_through(delta->through);
     registry_update update = decode_changes(delta->changes);
     update.is_relayed = true;
-    return complete(std::move(update), grace_ends_at);
+    update.grace_ends_at = grace_ends_at;
+    return complete(std::move(update));
 }
 
 result<registry_update> follower::poll_store(std::chrono::milliseconds wait) {
@@ -173,21 +178,20 @@
     }
     const bool has_lapsed_entries = is_unreachable_ && may_have_missed_outage();
     const time_point grace_ends_at = has_lapsed_entries ? outage_grace_end() : time_point{};
-    is_unreachable_ = false;
-    last_read_at_ = time_.now();
+    record_success();
     publish_delta(before, *polled, grace_ends_at);
-    return complete(polled->is_whole ? decode_snapshot(polled->entries)
-                                     : decode_changes(polled->changes),
-                    grace_ends_at);
+    registry_update update =
+        polled->is_whole ? decode_snapshot(polled->entries) : decode_changes(polled->changes);
+    update.grace_ends_at = grace_ends_at;
+    return complete(std::move(update));
 }
 
-registry_update follower::complete(registry_update update, time_point grace_ends_at) const {
+registry_update follower::complete(registry_update update) const {
     if (update.has_daemon_list) {
         for (const auto& [key, daemon] : daemons_) {
             update.daemons.push_back(daemon);
         }
     }
-    update.grace_ends_at = grace_ends_at;
     return update;
 }
 
--- a/src/discovery/follower.hpp
+++ b/src/discovery/follower.hpp
@@ -115,12 +115,13 @@
 private:
     [[nodiscard]] result<registry_update> poll_store(std::chrono::milliseconds wait);
     [[nodiscard]] result<registry_update> poll_feed();
-    [[nodiscard]] registry_update complete(registry_update update, time_point grace_ends_at) const;
+    [[nodiscard]] registry_update complete(registry_update update) const;
     void publish_delta(revision before, const store::watch_update& polled,
                        time_point grace_ends_at);
     [[nodiscard]] registry_update decode_snapshot(const std::vector<store::entry>& entries);
     [[nodiscard]] registry_update decode_changes(const std::vector<store::change>& changes);
     void decode_entry(const store::entry& entry, registry_update& update) const;
+    void record_success();
     void record_failure(time_point called_at, const std::error_code& error);
     [[nodiscard]] bool may_have_missed_outage() const;
     [[nodiscard]] time_point outage_grace_end() const;
