Gateway: remove what the shutdown's change made dead

is_idle() has no caller since close_if_idle() tells whether it closed. A second remove_closed() in the same tick removed nothing: a closed connection's coroutine ends in a later iteration of the loop, and the next tick removes it. gateway.gateway (35) and gateway.gateway_signals_process (6) pass.

--- a/src/forwarding/caller_connection.hpp
+++ b/src/forwarding/caller_connection.hpp
@@ -35,7 +35,6 @@
     /// \brief Closes the connection unless a request is in progress or has begun to arrive.
     /// \returns whether the connection is closed
     bool close_if_idle();
-    [[nodiscard]] bool is_idle() const noexcept { return is_idle_; }
     /// \returns whether a complete response to the current request has been sent
     [[nodiscard]] bool is_response_sent() const noexcept { return is_response_sent_; }
 
--- a/src/gateway/internal/gateway_daemon_impl.cpp
+++ b/src/gateway/internal/gateway_daemon_impl.cpp
@@ -425,7 +425,6 @@
     const duration stopping = now - stopping_since_;
     if (stopping >= balancer_detection_time) {
         callers_.close_idle();
-        callers_.remove_closed();
     }
     // The exit of the process resets connections whose last response is still on its way.
     const bool is_done =
