--- a/programs/cicadahatchd.cpp
+++ b/programs/cicadahatchd.cpp
@@ -74,8 +74,8 @@
     google::InitGoogleLogging(program);
 }
 
-/// A second signal during the shutdown ends the process at once.
-void allow_second_signal(const sigset_t& signals) {
+/// Pending signals are handled, or end the process if they have no handler.
+void unblock_signals(const sigset_t& signals) {
     pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
 }
 
@@ -122,7 +122,7 @@
         std::cerr << "cicadahatchd: can't start: " << running.error().message() << "\n";
         return is_end_requested() ? exit_ok : exit_failed;
     }
-    pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+    unblock_signals(signals);
     const bool is_whole = (*running)->run();
     // A call to the store that is under way must not hold up the end.
     std::_Exit(is_whole ? exit_ok : exit_cut_off);
@@ -145,7 +145,8 @@
     } while (received == SIGHUP); // There is nothing to reload.
     // NOLINTNEXTLINE(cppcoreguidelines-pro-type-cstyle-cast): the C library's macro has the cast
     std::signal(SIGHUP, SIG_IGN);
-    allow_second_signal(signals);
+    // A second signal ends the process at once.
+    unblock_signals(signals);
     const bool is_whole = (*running)->shut_down();
     google::FlushLogFiles(google::INFO);
     // Threads that still wait for a dead backend server must not hold up the end.
