--- a/test/discovery/registry_feed_test.cpp
+++ b/test/discovery/registry_feed_test.cpp
@@ -77,10 +77,15 @@
     void erase_after_outage(const std::string& key) {
         put(key, "x");
         static_cast<void>(relay_delta());
+        lose_store_of_relay(duration{0});
+        erase(key);
+    }
+    /// The store becomes unreachable; the relay's last call fails at the end.
+    void lose_store_of_relay(duration outage) {
         store.set_fault(store_fault::unavailable);
+        time.advance(outage);
         REQUIRE_FALSE(relay.follower.poll());
         store.set_fault(store_fault::none);
-        erase(key);
     }
     /// Polls the store in the relay and passes the deltas to the receiver.
     registry_update relay_delta() {
@@ -224,10 +229,7 @@
                   "poll, outage of the relay alone, receiver keeps no removed entry") {
     put("s/a", "x");
     static_cast<void>(relay_delta());
-    store.set_fault(store_fault::unavailable);
-    time.advance(4s);
-    REQUIRE_FALSE(relay.follower.poll());
-    store.set_fault(store_fault::none);
+    lose_store_of_relay(4s);
     // The feed has timed out, so the receiver reads the store itself.
     static_cast<void>(receiver.follower.poll().value());
     erase("s/a");
@@ -241,10 +243,7 @@
                   "poll, outage that the receiver has not read through, keeps removed entries") {
     put("s/a", "x");
     static_cast<void>(relay_delta());
-    store.set_fault(store_fault::unavailable);
-    time.advance(4s);
-    REQUIRE_FALSE(relay.follower.poll());
-    store.set_fault(store_fault::none);
+    lose_store_of_relay(4s);
     erase("s/a");
     const registry_update update = relay_delta();
     CHECK(update.is_relayed);
--- a/test/support/gateway_fixture.hpp
+++ b/test/support/gateway_fixture.hpp
@@ -56,6 +56,14 @@
     configured.store.address = http::to_string(stub.store());
 }
 
+/// Publishes a configuration and adds a plain server, a prefill engine and a decode engine.
+inline void add_sample_services(platform_stub& stub) {
+    stub.put("op/config", sample_platform_configuration(1));
+    stub.add_engine("shop-1", "shop", "");
+    stub.add_engine("p-1", "model", "prefill");
+    stub.add_engine("x-1", "model", "decode");
+}
+
 /// Runs a gateway in this process against a stub of the platform.
 struct gateway_fixture {
     using plain_answer = engine_script::plain_answer;
@@ -72,10 +80,7 @@
 
     gateway_fixture() : gateway_fixture(settings::gateway_settings{}) {}
     explicit gateway_fixture(const settings::gateway_settings& initial) : configured(initial) {
-        stub.put("op/config", sample_platform_configuration(1));
-        stub.add_engine("shop-1", "shop", "");
-        stub.add_engine("p-1", "model", "prefill");
-        stub.add_engine("x-1", "model", "decode");
+        add_sample_services(stub);
         start();
     }
     gateway_fixture(const gateway_fixture&) = delete;
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -17,10 +17,7 @@
     boot_clock lease_time;
 
     explicit gateway_fleet(std::size_t size) {
-        stub.put("op/config", sample_platform_configuration(1));
-        stub.add_engine("shop-1", "shop", "");
-        stub.add_engine("p-1", "model", "prefill");
-        stub.add_engine("x-1", "model", "decode");
+        add_sample_services(stub);
         for (std::size_t index = 1; index <= size; ++index) {
             add_member("d" + std::to_string(index));
         }
--- a/test/support/gateway_process.hpp
+++ b/test/support/gateway_process.hpp
@@ -7,7 +7,6 @@
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
-#include <sstream>
 
 namespace cicadahatch::test_support {
 
@@ -18,10 +17,7 @@
     std::filesystem::path folder;
 
     gateway_process_fixture() {
-        stub.put("op/config", sample_platform_configuration(1));
-        stub.add_engine("shop-1", "shop", "");
-        stub.add_engine("p-1", "model", "prefill");
-        stub.add_engine("x-1", "model", "decode");
+        add_sample_services(stub);
         set_addresses(configured, "d1", stub);
         std::string pattern = std::filesystem::temp_directory_path() / "gateway-XXXXXX";
         REQUIRE(mkdtemp(pattern.data()) != nullptr);
--- a/test/support/memory_store.cpp
+++ b/test/support/memory_store.cpp
@@ -52,6 +52,11 @@
     compacted_ = revision_;
 }
 
+std::chrono::milliseconds memory_store::last_wait() const {
+    const std::lock_guard lock{mutex_};
+    return last_wait_;
+}
+
 std::uint64_t memory_store::calls() const {
     const std::lock_guard lock{mutex_};
     return calls_;
--- a/test/support/memory_store.hpp
+++ b/test/support/memory_store.hpp
@@ -29,7 +29,7 @@
     /// \brief Every call meets this fault until told otherwise.
     void set_fault(store_fault fault);
     /// \returns how long the last watch was to wait for changes
-    [[nodiscard]] std::chrono::milliseconds last_wait() const { return last_wait_; }
+    [[nodiscard]] std::chrono::milliseconds last_wait() const;
     /// \brief Forgets history up to the present, so that older watches get errc::compacted.
     void compact();
     [[nodiscard]] std::uint64_t calls() const;
