Settings: the new bound is called stabilization_ms

settling_ms, new in this change, used the word of a field between daemons that holds something else: what is left of a grace period.

--- a/src/discovery/follower.cpp
+++ b/src/discovery/follower.cpp
@@ -132,7 +132,7 @@
 }
 
 time_point follower::outage_grace_end() const {
-    return std::min(time_.now() + options_.grace_period, failed_call_at_ + options_.settling);
+    return std::min(time_.now() + options_.grace_period, failed_call_at_ + options_.stabilization);
 }
 
 result<registry_update> follower::poll() {
--- a/src/discovery/follower.hpp
+++ b/src/discovery/follower.hpp
@@ -69,7 +69,7 @@
     std::chrono::milliseconds min_outage{0};
     /// Time after the end of an outage from which removed entries must not be used. The end is not
     /// known, but is later than the start of the last call that failed.
-    std::chrono::milliseconds settling{3000};
+    std::chrono::milliseconds stabilization{3000};
     std::chrono::seconds presence_ttl{15}; ///< lease of this daemon's own key
     std::chrono::seconds presence_renewal_interval{5};
 };
--- a/src/gateway/internal/gateway_daemon_impl.cpp
+++ b/src/gateway/internal/gateway_daemon_impl.cpp
@@ -186,7 +186,8 @@
     options.update_delay = configured_.bounds.drain / polls_per_drain_bound;
     options.min_outage = registry_silence(configured_.bounds);
     // Entries whose grace period has ended are removed by the next tick.
-    options.settling = std::max(tick_interval, configured_.bounds.settling) - tick_interval;
+    options.stabilization =
+        std::max(tick_interval, configured_.bounds.stabilization) - tick_interval;
     options.relaying_watch_timeout = shortest_bound(configured_.bounds) / publications_per_bound;
     discovery::registered_daemon self{configured_.name, peers, configured_.domain, {}};
     if (!configured_.registry.empty()) {
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -29,7 +29,7 @@
 struct installation_bounds {
     std::chrono::milliseconds drain{2000};         ///< until a draining server gets no more work
     std::chrono::milliseconds configuration{2000}; ///< until an accepted version is in force
-    std::chrono::milliseconds settling{3000};      ///< from a disturbance until all bounds hold
+    std::chrono::milliseconds stabilization{3000}; ///< from a disturbance until all bounds hold
     std::chrono::seconds shutdown{8};              ///< from SIGTERM to the end
     double retry_ratio = 0.1;                      ///< retries for each request of a service
     std::uint32_t retry_extra = 10;                ///< beside them in each window, all daemons
--- a/src/settings/internal/gateway_fields.cpp
+++ b/src/settings/internal/gateway_fields.cpp
@@ -45,7 +45,7 @@
                    "time after which a draining backend server gets no more work"),
         make_field("configuration_ms", &installation_bounds::configuration, short_time(),
                    "time in which an accepted configuration is in force"),
-        make_field("settling_ms", &installation_bounds::settling, short_time(),
+        make_field("stabilization_ms", &installation_bounds::stabilization, short_time(),
                    "time after the end of a disturbance from which all bounds hold again"),
         make_field("shutdown_s", &installation_bounds::shutdown,
                    time<std::chrono::seconds>(1s, 3600s, "s"), "longest graceful shutdown"),
--- a/test/discovery/follower_test.cpp
+++ b/test/discovery/follower_test.cpp
@@ -220,7 +220,7 @@
     time.advance(2s);
     const registry_update update = poll();
     CHECK(update.grace_ends_at > time.now());
-    CHECK(update.grace_ends_at <= last_failure + options.settling);
+    CHECK(update.grace_ends_at <= last_failure + options.stabilization);
 }
 
 TEST_CASE_FIXTURE(interruption_fixture,
--- a/test/settings/gateway_settings_test.cpp
+++ b/test/settings/gateway_settings_test.cpp
@@ -70,7 +70,7 @@
     CHECK(read.value.store.address == "10.200.1.7:8142");
     CHECK(read.value.limits.memory_mb == 110);
     CHECK(read.value.bounds.drain == 2000ms);
-    CHECK(read.value.bounds.settling == 2500ms);
+    CHECK(read.value.bounds.stabilization == 2500ms);
     CHECK(read.value.bounds.shutdown == 8s);
     CHECK(read.value.bounds.retry_ratio == doctest::Approx(0.2));
     CHECK(read.value.bounds.retry_extra == 54);
