Tests: untrusted callers against the daemon's process, failing

Crowds of 64 callers with bodies of 1 MB that stop a byte short, in chunks of 64 KB and of 16 bytes, and mixed with unfinished heads; 48 MB and 400 descriptors in the settings. Bounds: the process lives, its peak memory and descriptors stay within the settings, an ordinary GET and POST are answered.

--- a/test/support/gateway_process.hpp
+++ b/test/support/gateway_process.hpp
@@ -40,6 +40,9 @@
                                      {"readiness", configured.readiness},
                                      {"peers", configured.peers},
                                      {"store", {{"address", configured.store.address}}},
+                                     {"limits",
+                                      {{"memory_mb", configured.limits.memory_mb},
+                                       {"descriptors", configured.limits.descriptors}}},
                                      {"bounds",
                                       {{"shutdown_s", configured.bounds.shutdown.count()},
                                        {"drain_ms", configured.bounds.drain.count()}}}};
