--- a/src/discovery/follower.cpp
+++ b/src/discovery/follower.cpp
@@ -162,6 +162,7 @@
     watch_.skip_through(delta->through);
     registry_update update = decode_changes(delta->changes);
     update.is_relayed = true;
+    update.complete_as_of = delta->complete_as_of;
     update.grace_ends_at = grace_ends_at;
     return complete(std::move(update));
 }
@@ -169,6 +170,8 @@
 result<registry_update> follower::poll_store(std::chrono::milliseconds wait) {
     const revision before = watch_.position();
     const time_point called_at = time_.now();
+    const std::optional<time_point> complete_as_of =
+        lease_time_ == nullptr ? std::nullopt : std::optional{lease_time_->now()};
     // The first poll after an outage returns at once: entries that are removed later did not lapse
     // in it.
     auto polled = watch_.poll(is_unreachable_ ? std::chrono::milliseconds{0} : wait);
@@ -179,10 +182,11 @@
     const bool has_lapsed_entries = is_unreachable_ && may_have_missed_outage();
     const time_point grace_ends_at = has_lapsed_entries ? outage_grace_end() : time_point{};
     record_success();
-    publish_delta(before, *polled, grace_ends_at);
+    publish_delta(before, *polled, grace_ends_at, complete_as_of);
     registry_update update =
         polled->is_whole ? decode_snapshot(polled->entries) : decode_changes(polled->changes);
     update.grace_ends_at = grace_ends_at;
+    update.complete_as_of = complete_as_of;
     return complete(std::move(update));
 }
 
@@ -196,7 +200,7 @@
 }
 
 void follower::publish_delta(revision before, const store::watch_update& polled,
-                             time_point grace_ends_at) {
+                             time_point grace_ends_at, std::optional<time_point> complete_as_of) {
     if (!on_delta_) {
         return;
     }
@@ -205,6 +209,7 @@
     // A listing skips revisions, so a receiver that is behind has to read the store itself.
     delta.after = polled.is_whole ? delta.through : before;
     delta.changes = polled.changes;
+    delta.complete_as_of = complete_as_of;
     const duration left = std::max(duration{0}, grace_ends_at - time_.now());
     delta.grace_period = std::chrono::ceil<std::chrono::milliseconds>(left);
     on_delta_(std::move(delta));
@@ -285,12 +290,16 @@
             std::this_thread::sleep_for(options_.retry_delay);
             continue;
         }
+        const bool is_pause_due = has_changes(*update) && !update->is_relayed;
+        const std::optional<time_point> complete_as_of = update->complete_as_of;
         if (has_changes(*update)) {
-            const bool is_relayed = update->is_relayed;
             on_update(std::move(*update));
-            if (!is_relayed) {
-                std::this_thread::sleep_for(options_.update_delay);
-            }
+        }
+        if (complete_as_of && on_confirmation_) {
+            on_confirmation_(*complete_as_of);
+        }
+        if (is_pause_due) {
+            std::this_thread::sleep_for(options_.update_delay);
         }
         const auto maintained = maintain_presence();
         if (!maintained) {
--- a/src/discovery/follower.hpp
+++ b/src/discovery/follower.hpp
@@ -49,6 +49,8 @@
     std::vector<registered_daemon> daemons; ///< complete list, if it has changed
     time_point grace_ends_at; ///< absent backend servers are kept until then; the epoch: not kept
     bool is_relayed = false;  ///< read from the store by another daemon
+    /// Every version of the configuration accepted before this time is known; empty: no new time.
+    std::optional<time_point> complete_as_of{};
 };
 
 /// \brief A change of the store's reachability.
@@ -82,6 +84,7 @@
     using update_handler = std::function<void(registry_update)>;
     using status_handler = std::function<void(const store_status&)>;
     using delta_handler = std::function<void(store_delta)>;
+    using confirmation_handler = std::function<void(time_point complete_as_of)>;
 
     /// \param store,time outlive this object
     follower(store::key_value_store& store, registry_schema schema, follower_options options,
@@ -95,6 +98,14 @@
     /// daemons.
     void on_delta(delta_handler handler) { on_delta_ = std::move(handler); }
 
+    /// \brief Sets the handler of each poll that shows until when the configuration is complete. It
+    /// is called after the handler of the poll's changes.
+    /// \param lease_time keeps running while the VM is suspended; outlives this object
+    void on_confirmation(const clock& lease_time, confirmation_handler handler) {
+        lease_time_ = &lease_time;
+        on_confirmation_ = std::move(handler);
+    }
+
     /// \brief Polls until stop() is called.
     void run(const update_handler& on_update, const status_handler& on_status);
 
@@ -116,8 +127,8 @@
     [[nodiscard]] result<registry_update> poll_store(std::chrono::milliseconds wait);
     [[nodiscard]] result<registry_update> poll_feed();
     [[nodiscard]] registry_update complete(registry_update update) const;
-    void publish_delta(revision before, const store::watch_update& polled,
-                       time_point grace_ends_at);
+    void publish_delta(revision before, const store::watch_update& polled, time_point grace_ends_at,
+                       std::optional<time_point> complete_as_of);
     [[nodiscard]] registry_update decode_snapshot(const std::vector<store::entry>& entries);
     [[nodiscard]] registry_update decode_changes(const std::vector<store::change>& changes);
     void decode_entry(const store::entry& entry, registry_update& update) const;
@@ -137,6 +148,8 @@
     store::resuming_watch watch_;
     registry_feed* feed_ = nullptr; ///< null: this daemon always reads the store itself
     delta_handler on_delta_;
+    confirmation_handler on_confirmation_;
+    const clock* lease_time_ = nullptr; ///< null: the age of the configuration is not measured
     std::map<std::string, registered_daemon> daemons_; ///< by key
     bool is_unreachable_ = false;
     time_point failed_call_at_; ///< start of the last call of the store that failed
--- a/src/discovery/registry_feed.hpp
+++ b/src/discovery/registry_feed.hpp
@@ -20,6 +20,9 @@
     revision through; ///< up to and including this one
     std::vector<store::change> changes;
     std::chrono::milliseconds grace_period{0}; ///< remaining time in which entries may reappear
+    /// Every change accepted before this time is contained, by the receiver's clock that keeps
+    /// running while the VM is suspended; empty: not known.
+    std::optional<time_point> complete_as_of{};
 };
 
 /// \brief Thread-safe queue of the deltas that other daemons have read from the store.
--- a/src/forwarding/caller_response.cpp
+++ b/src/forwarding/caller_response.cpp
@@ -24,7 +24,7 @@
     const routing::route& route = request.route();
     observation.service = route.services.empty() ? service_id{} : route.services.front().service;
     const bool is_highest_priority =
-        request.table().priority_level(route, observation.service) == 0;
+        request.table().priority_level(route, observation.service, request.owner()) == 0;
     observation.work_rank = is_highest_priority ? rank::urgent : rank::deferrable;
     observation.outcome = outcome_of(request, status);
     if (observation.outcome == metrics::request_outcome::refused) {
@@ -59,6 +59,15 @@
     return !is_success(response.status) || response.metadata.is_signed;
 }
 
+caller_response make_failure_response(const gateway_state& state, const request_context& request,
+                                      execution_state execution,
+                                      std::chrono::milliseconds retry_after) {
+    const bool is_unauthorized = execution == execution_state::not_executed &&
+                                 request.end_reason() == request_end_reason::access_withdrawn;
+    return is_unauthorized ? unauthorized_response(state.wire.authentication_scheme)
+                           : failure_response(execution, request.end_reason(), retry_after);
+}
+
 void record_request_end(gateway_state& state, const request_context& request, unsigned status,
                         std::string_view outcome, std::string_view reason, unsigned sends) {
     record_metrics(state, request, status, reason);
--- a/src/forwarding/exchange.cpp
+++ b/src/forwarding/exchange.cpp
@@ -1,5 +1,6 @@
 #include "src/forwarding/exchange.hpp"
 
+#include "src/forwarding/access.hpp"
 #include "src/forwarding/constants.hpp"
 #include "src/forwarding/error.hpp"
 
@@ -143,6 +144,7 @@
         co_return exchange;
     }
     if (request) {
+        end_if_access_withdrawn(state, *request);
         request->attach(exchange.connection);
         if (request->is_ended()) {
             exchange.error = errc::cancelled;
--- a/src/forwarding/gateway_state.hpp
+++ b/src/forwarding/gateway_state.hpp
@@ -4,9 +4,11 @@
 #include "src/balancing/candidate_order.hpp"
 #include "src/core/clock.hpp"
 #include "src/core/random.hpp"
+#include "src/discovery/configuration_age.hpp"
 #include "src/discovery/directory.hpp"
 #include "src/forwarding/connection_pool.hpp"
 #include "src/forwarding/placement_service.hpp"
+#include "src/forwarding/usage_service.hpp"
 #include "src/forwarding/wire_protocol.hpp"
 #include "src/logging/event_log.hpp"
 #include "src/metrics/registry.hpp"
@@ -26,12 +28,15 @@
     std::size_t max_buffered_bytes =
         32UL * 1024 * 1024; ///< total over the bodies of all requests in progress
     balancing::ejection_policy ejection;
+    /// Units by which all daemons together may exceed a team's usage cap.
+    double usage_slack = 0;
 };
 
 /// \brief State shared by all requests of a daemon. Accessed by the event loop's thread only.
 struct gateway_state {
     asio::io_context& loop;
     const clock& time;
+    const clock& lease_time; ///< keeps running while the VM is suspended
     const wire_protocol& wire;
     logging::event_log& log;
     metrics::registry& metric_registry;
@@ -40,16 +45,19 @@
     forwarding_options options;
 
     routing::route_table_ptr table{}; ///< null until the first configuration has been read
+    discovery::configuration_age configuration_age{};
     discovery::directory backends{};
     balancing::load_table loads{};
     connection_pool connections{};
     std::unordered_map<service_id, scheduling::retry_budget> retry_budgets{};
     scheduling::daemon_count daemons{};  ///< that share limits, including this one
     std::vector<daemon_id> daemon_ids{}; ///< identifiers of the registered daemons
+    std::unordered_map<daemon_id, domain_id> daemon_domains{}; ///< of the registered daemons
     random_source random{0};
     std::size_t buffered_bytes = 0;
     std::size_t running_requests = 0;
     placement_service* placements = nullptr; ///< outlives the requests
+    usage_service* usage = nullptr;          ///< null: usage is not limited; outlives the requests
     bool is_stopping = false;
     time_point last_stream_start{}; ///< while stopping: streams started later could not end before
                                     ///< shutdown_deadline
--- a/src/forwarding/local_response.cpp
+++ b/src/forwarding/local_response.cpp
@@ -38,6 +38,22 @@
     return response;
 }
 
+caller_response too_many_requests_response(std::optional<std::chrono::milliseconds> retry_after) {
+    caller_response response =
+        local_response(to_status(beast_http::status::too_many_requests), "usage cap exceeded");
+    if (retry_after) {
+        response.set(beast_http::field::retry_after, format_seconds(*retry_after));
+    }
+    return response;
+}
+
+caller_response unauthorized_response(std::string_view scheme) {
+    caller_response response =
+        local_response(to_status(beast_http::status::unauthorized), "no valid key");
+    response.set(beast_http::field::www_authenticate, std::string{scheme});
+    return response;
+}
+
 caller_response failure_response(execution_state execution, request_end_reason reason,
                                  std::chrono::milliseconds retry_after) {
     if (execution == execution_state::not_executed) {
--- a/src/forwarding/local_response.hpp
+++ b/src/forwarding/local_response.hpp
@@ -17,6 +17,15 @@
 [[nodiscard]] caller_response unavailable_response(std::string_view reason,
                                                    std::chrono::milliseconds retry_after);
 
+/// \returns a 429 response, which promises that the request has not been executed
+/// \param retry_after empty: a later time does not help
+[[nodiscard]] caller_response
+too_many_requests_response(std::optional<std::chrono::milliseconds> retry_after);
+
+/// \returns a 401 response
+/// \param scheme authentication scheme of the keys
+[[nodiscard]] caller_response unauthorized_response(std::string_view scheme);
+
 /// \brief Whether a failed request may have been executed.
 enum class execution_state : std::uint8_t {
     not_executed, ///< no backend server can have executed it
--- a/src/forwarding/plain_forward.cpp
+++ b/src/forwarding/plain_forward.cpp
@@ -3,7 +3,6 @@
 #include "src/forwarding/caller_response.hpp"
 #include "src/forwarding/error.hpp"
 #include "src/forwarding/exchange.hpp"
-#include "src/forwarding/local_response.hpp"
 
 #include <algorithm>
 
@@ -67,7 +66,8 @@
     send_options options;
     options.target = target.id;
     options.time_left = time_left(state, *request);
-    options.priority = request->table().priority_level(request->route(), attempts.service);
+    options.priority =
+        request->table().priority_level(request->route(), attempts.service, request->owner());
     ++balancing::load_of(state.loads, target.id, target.started).running;
     full_response response =
         co_await send_request(state, request, target,
@@ -160,7 +160,7 @@
     const std::chrono::milliseconds until_server = time_until_server(state, attempts.service);
     const auto retry_after = std::max(plain_retry_after, until_server);
     caller_response response =
-        failure_response(attempts.execution, request->end_reason(), retry_after);
+        make_failure_response(state, *request, attempts.execution, retry_after);
     const unsigned status = response.result_int();
     if (request->end_reason() != request_end_reason::caller_left) {
         co_await caller.send(std::move(response));
@@ -173,8 +173,8 @@
 
 } // namespace
 
-asio::awaitable<void> forward_plain(gateway_state& state, request_context_ptr request,
-                                    caller_connection& caller) {
+asio::awaitable<execution_state> forward_plain(gateway_state& state, request_context_ptr request,
+                                               caller_connection& caller) {
     plain_attempts attempts;
     attempts.service = routing::choose_service(request->route(), state.random.unit());
     scheduling::record_request(retry_budget_of(state, attempts.service));
@@ -187,13 +187,14 @@
         // A response that is complete as the request times out is still delivered.
         if (handle_response(*request, response, attempts)) {
             co_await send_response(state, request, caller, std::move(response), attempts.sends);
-            co_return;
+            co_return attempts.execution;
         }
         if (!may_retry(*request, attempts)) {
             break;
         }
     }
     co_await send_failure(state, request, caller, attempts);
+    co_return attempts.execution;
 }
 
 } // namespace cicadahatch::forwarding
--- a/src/forwarding/plain_forward.hpp
+++ b/src/forwarding/plain_forward.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "src/forwarding/caller_connection.hpp"
+#include "src/forwarding/local_response.hpp"
 
 namespace cicadahatch::forwarding {
 
@@ -8,7 +9,8 @@
 ///
 /// A request that is not idempotent is sent to another server only if the previous one has
 /// certainly not executed it.
-[[nodiscard]] asio::awaitable<void> forward_plain(gateway_state& state, request_context_ptr request,
-                                                  caller_connection& caller);
+/// \returns whether a server may have executed it
+[[nodiscard]] asio::awaitable<execution_state>
+forward_plain(gateway_state& state, request_context_ptr request, caller_connection& caller);
 
 } // namespace cicadahatch::forwarding
--- a/src/forwarding/request_context.cpp
+++ b/src/forwarding/request_context.cpp
@@ -12,15 +12,18 @@
         return "caller_left";
     case request_end_reason::time_over:
         return "time_over";
+    case request_end_reason::access_withdrawn:
+        return "access_withdrawn";
     }
     return "unknown";
 }
 
 request_context::request_context(asio::io_context& loop, routing::route_table_ptr table,
                                  const routing::route& matched_route, request_metadata metadata,
-                                 time_point arrived)
-    : table_(std::move(table)), route_(&matched_route), metadata_(std::move(metadata)),
-      arrived_(arrived), deadline_(arrived + matched_route.timeout), timer_(loop) {
+                                 time_point arrived, const routing::team* owner)
+    : table_(std::move(table)), route_(&matched_route), owner_(owner),
+      metadata_(std::move(metadata)), arrived_(arrived), deadline_(arrived + matched_route.timeout),
+      timer_(loop) {
     if (metadata_.timeout) {
         deadline_ = std::min(deadline_, arrived_ + *metadata_.timeout);
     }
--- a/src/forwarding/request_context.hpp
+++ b/src/forwarding/request_context.hpp
@@ -15,9 +15,10 @@
 
 /// \brief Why a request has ended before its response was complete.
 enum class request_end_reason : std::uint8_t {
-    none,        ///< in progress, or ended with a response
-    caller_left, ///< the caller has disconnected
-    time_over    ///< the caller's or the route's timeout has passed
+    none,            ///< in progress, or ended with a response
+    caller_left,     ///< the caller has disconnected
+    time_over,       ///< the caller's or the route's timeout has passed
+    access_withdrawn ///< a newer configuration has withdrawn the caller's key
 };
 
 [[nodiscard]] const char* to_string(request_end_reason reason) noexcept;
@@ -27,10 +28,12 @@
 public:
     request_context(asio::io_context& loop, routing::route_table_ptr table,
                     const routing::route& matched_route, request_metadata metadata,
-                    time_point arrived);
+                    time_point arrived, const routing::team* owner = nullptr);
 
     [[nodiscard]] const routing::route& route() const noexcept { return *route_; }
     [[nodiscard]] const routing::route_table& table() const noexcept { return *table_; }
+    /// \returns the caller's team; null if unknown
+    [[nodiscard]] const routing::team* owner() const noexcept { return owner_; }
     [[nodiscard]] const request_metadata& metadata() const noexcept { return metadata_; }
     [[nodiscard]] time_point arrived() const noexcept { return arrived_; }
     /// \returns when the request times out: the earlier of the caller's and the route's timeout
@@ -64,6 +67,7 @@
 private:
     routing::route_table_ptr table_;
     const routing::route* route_;
+    const routing::team* owner_;
     request_metadata metadata_;
     time_point arrived_;
     time_point deadline_;
--- a/src/forwarding/stream_forward.cpp
+++ b/src/forwarding/stream_forward.cpp
@@ -39,7 +39,7 @@
     placement_request placement;
     const routing::route& route = request.route();
     placement.service = routing::choose_service(route, state.random.unit());
-    placement.priority = request.table().priority_level(route, placement.service);
+    placement.priority = request.table().priority_level(route, placement.service, request.owner());
     placement.target = route.objective;
     placement.retry_target = max_useful_wait(route);
     return placement;
@@ -214,7 +214,7 @@
         const auto retry_after =
             stream.retry_after > 0ms ? stream.retry_after : default_retry_after;
         caller_response response =
-            failure_response(stream.execution, request->end_reason(), retry_after);
+            make_failure_response(state, *request, stream.execution, retry_after);
         status = response.result_int();
         co_await caller.send(std::move(response));
     }
@@ -224,8 +224,8 @@
 
 } // namespace
 
-asio::awaitable<void> forward_stream(gateway_state& state, request_context_ptr request,
-                                     caller_connection& caller) {
+asio::awaitable<execution_state> forward_stream(gateway_state& state, request_context_ptr request,
+                                                caller_connection& caller) {
     stream_state stream;
     stream.placement = make_placement_request(state, *request);
     if (request->metadata().last_event) {
@@ -241,9 +241,10 @@
     }
     if (result.outcome == attempt_outcome::done) {
         record_request_end(state, *request, result.status, "answered", "", stream.sends);
-        co_return;
+        co_return stream.execution;
     }
     co_await finish_failed(state, request, caller, stream);
+    co_return stream.execution;
 }
 
 } // namespace cicadahatch::forwarding
--- a/src/forwarding/wire_protocol.hpp
+++ b/src/forwarding/wire_protocol.hpp
@@ -18,7 +18,9 @@
 struct request_metadata {
     request_id id; ///< identifies this attempt of the caller; empty if not stated
     std::optional<std::chrono::milliseconds>
-        timeout; ///< how long the caller waits for the response
+        timeout;                    ///< how long the caller waits for the response
+    std::optional<std::string> key; ///< identifies the caller's team
+    bool states_tokens = false;     ///< whether the next two fields are stated
     std::uint32_t prompt_tokens = 0;
     std::uint32_t max_output_tokens = 0;
     std::optional<std::uint32_t> expected_output_tokens; ///< the caller's estimate
@@ -76,7 +78,10 @@
 /// \brief Encoding of the platform-specific fields and calls of callers and backend servers.
 struct wire_protocol {
     std::string_view readiness_path;
+    std::string_view authentication_scheme; ///< of the callers' keys (RFC 9110, 11.1)
     request_metadata (*parse_request)(const field_map& head) = nullptr;
+    /// Replaces the caller's key by the name of its team; an empty identifier names none.
+    void (*set_team)(field_map& head, const team_id& team) = nullptr;
     /// Removes the fields reserved for this daemon and sets those of the options.
     void (*set_request_fields)(field_map& head, const send_options& options) = nullptr;
     response_metadata (*parse_response)(const field_map& head) = nullptr;
--- a/src/gateway/home_server.cpp
+++ b/src/gateway/home_server.cpp
@@ -18,6 +18,7 @@
     : state_(state),
       home_(state.time, policy,
             [&state](const cell_id& cell) { return make_cell_topology(state, cell); }),
+      usage_home_(state),
       listener_(state.loop, [this](forwarding::tcp::socket socket) { accept(std::move(socket)); }),
       timer_(state.loop) {}
 
@@ -44,12 +45,23 @@
         return;
     }
     home_.renew(peer);
+    std::vector<rpc::message> answers;
+    bool has_cell_messages = false;
     for (const rpc::message& message : received) {
+        if (auto answer = usage_home_.handle(peer, message)) {
+            answers.push_back(std::move(*answer));
+        }
+        has_cell_messages = has_cell_messages || !usage_home::is_usage_message(message);
         note_failed_stream(message);
         note_leaving_engine(message);
         home_.handle(peer, message);
     }
-    schedule();
+    if (!answers.empty()) {
+        from->send(std::move(answers));
+    }
+    if (has_cell_messages) {
+        schedule();
+    }
 }
 
 bool home_server::adopt_connection(const std::shared_ptr<peer_channel>& from,
@@ -267,6 +279,7 @@
 
 void home_server::leave() {
     home_.leave();
+    usage_home_.leave();
     schedule();
 }
 
@@ -297,6 +310,7 @@
         home_.disconnect(row->first);
         row = channel_by_daemon_.erase(row);
     }
+    usage_home_.tick();
     send_heartbeats();
     poll_usage(state_.time.now());
     if (!home_.cells().empty()) {
--- a/src/gateway/home_server.hpp
+++ b/src/gateway/home_server.hpp
@@ -4,6 +4,7 @@
 #include "src/forwarding/gateway_state.hpp"
 #include "src/gateway/listener.hpp"
 #include "src/gateway/peer_channel.hpp"
+#include "src/gateway/usage_home.hpp"
 #include "src/logging/event_log.hpp"
 
 #include <map>
@@ -68,6 +69,7 @@
 
     forwarding::gateway_state& state_;
     cells::home home_;
+    usage_home usage_home_;
     listener listener_;
     forwarding::asio::steady_timer timer_;
     std::vector<std::shared_ptr<peer_channel>> channels_; ///< in order of acceptance
--- a/src/gateway/internal/gateway_daemon_impl.cpp
+++ b/src/gateway/internal/gateway_daemon_impl.cpp
@@ -1,6 +1,7 @@
 #include "src/gateway/internal/gateway_daemon_impl.hpp"
 
 #include "src/core/hash.hpp"
+#include "src/core/random.hpp"
 #include "src/gateway/cell_configuration.hpp"
 #include "src/gateway/constants.hpp"
 #include "src/metrics/exposition.hpp"
@@ -58,6 +59,7 @@
     forwarding::forwarding_options options;
     options.retry_ratio = configured.bounds.retry_ratio;
     options.retry_extra = configured.bounds.retry_extra;
+    options.usage_slack = configured.bounds.usage_slack;
     options.max_buffered_bytes = configured.limits.memory_mb * bytes_per_mb / body_memory_divisor;
     return options;
 }
@@ -97,16 +99,19 @@
       log_(time_, configured_.name.str(), {}, std::move(output)),
       request_recorder_(time_), state_{loop_,
                                        time_,
+                                       lease_time_,
                                        binding_.wire,
                                        log_,
                                        metric_values_,
                                        request_recorder_,
                                        configured_.domain,
                                        to_forwarding_options(configured_)},
-      home_server_(state_, gateway_policy()), placements_(state_, configured_.name),
+      home_server_(state_, gateway_policy()), homes_(state_, configured_.name),
+      placements_(state_, configured_.name, homes_), usage_(state_, homes_),
       role_controller_(state_, home_server_, lease_time_, configured_.name,
                        configured_.bounds.engines_check_fencing),
-      feed_(lease_time_, registry_silence(configured_.bounds)), publisher_(loop_, time_),
+      feed_(lease_time_, registry_silence(configured_.bounds)),
+      publisher_(loop_, time_, lease_time_),
       subscriber_(loop_, time_, log_, configured_.name, configured_.domain,
                   registry_silence(configured_.bounds),
                   [this](discovery::store_delta delta) { feed_.offer(std::move(delta)); }),
@@ -131,7 +136,15 @@
                         }),
       signals_(loop_), tick_timer_(loop_), callers_(max_callers(configured_.limits.descriptors)) {
     state_.random = random_source{random_seed(configured_, time_)};
+    key_seed_ = stable_hash(unique_token());
     state_.placements = &placements_;
+    state_.usage = &usage_;
+    homes_.add_user(placements_);
+    homes_.add_user(usage_);
+    if (configured_.bounds.revocation > 0ms) {
+        state_.configuration_age.max_age = configured_.bounds.revocation;
+        subscriber_.measure_age(lease_time_);
+    }
 }
 
 template <class Listener>
@@ -204,6 +217,11 @@
                                                       time_, std::move(self));
     follower_->use_feed(
         feed_); // Without a registry address the feed is never live: there are no sources.
+    if (state_.configuration_age.max_age) {
+        follower_->on_confirmation(lease_time_, [this](time_point complete_as_of) {
+            asio::post(loop_, [this, complete_as_of] { on_confirmation(complete_as_of); });
+        });
+    }
     follower_->on_delta([this](discovery::store_delta delta) {
         asio::post(loop_, [this, delta = std::move(delta)] { publisher_.publish(delta); });
     });
@@ -416,9 +434,12 @@
     state_.connections.close_expired(now);
     forwarding::tick_daemon_count(state_);
     home_server_.tick();
+    homes_.tick();
     placements_.tick();
+    usage_.tick();
     role_controller_.tick();
     tick_registry();
+    log_configuration_age();
     callers_.remove_closed();
     if (!state_.is_stopping) {
         return;
@@ -478,11 +499,14 @@
         log_.write(weight::notable, "daemons.counted",
                    {{"daemons", update.daemons.size()}, {"sharing", state_.daemons.value}});
         state_.daemon_ids.clear();
+        state_.daemon_domains.clear();
         for (const discovery::registered_daemon& daemon : update.daemons) {
             state_.daemon_ids.push_back(daemon.id);
+            state_.daemon_domains.emplace(daemon.id, daemon.domain);
         }
         subscriber_.set_daemons(update.daemons);
-        placements_.set_daemons(std::move(update.daemons));
+        homes_.set_daemons(std::move(update.daemons));
+        placements_.tick();
     }
     if (update.configuration || update.is_snapshot || !update.present.empty() ||
         !update.absent.empty()) {
@@ -498,10 +522,29 @@
                {{"version", accepted.version},
                 {"before", before},
                 {"routes", accepted.routes.size()},
+                {"teams", accepted.teams ? accepted.teams->size() : 0},
                 {"taken", is_newer}});
     if (is_newer) {
-        state_.table = std::make_shared<const routing::route_table>(std::move(accepted));
+        state_.table = std::make_shared<const routing::route_table>(std::move(accepted), key_seed_);
+    }
+}
+
+void gateway_daemon::impl::on_confirmation(time_point complete_as_of) {
+    discovery::confirm(state_.configuration_age, complete_as_of);
+    log_configuration_age();
+}
+
+void gateway_daemon::impl::log_configuration_age() {
+    const time_point now = lease_time_.now();
+    const bool is_outdated = discovery::is_outdated(state_.configuration_age, now);
+    if (is_outdated == was_outdated_) {
+        return;
     }
+    was_outdated_ = is_outdated;
+    log_.write(weight::notable, "configuration.age",
+               {{"outdated", is_outdated},
+                {"version", state_.table ? state_.table->version() : 0},
+                {"age_ms", duration{now - state_.configuration_age.complete_as_of}}});
 }
 
 void gateway_daemon::impl::on_backends(const discovery::registry_update& update) {
--- a/src/gateway/internal/gateway_daemon_impl.hpp
+++ b/src/gateway/internal/gateway_daemon_impl.hpp
@@ -4,6 +4,7 @@
 #include "src/forwarding/gateway_state.hpp"
 #include "src/gateway/caller_table.hpp"
 #include "src/gateway/gateway_daemon.hpp"
+#include "src/gateway/home_connections.hpp"
 #include "src/gateway/home_server.hpp"
 #include "src/gateway/listener.hpp"
 #include "src/gateway/order_lease_manager.hpp"
@@ -11,6 +12,7 @@
 #include "src/gateway/registry_publisher.hpp"
 #include "src/gateway/registry_subscriber.hpp"
 #include "src/gateway/role_controller.hpp"
+#include "src/gateway/usage_client.hpp"
 #include "src/store/guarded_store.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -58,6 +60,8 @@
     void follow();
     void on_update(discovery::registry_update update);
     void on_configuration(routing::configuration accepted);
+    void on_confirmation(time_point complete_as_of);
+    void log_configuration_age();
     void on_backends(const discovery::registry_update& update);
     void handle_backend_changes(const std::vector<discovery::directory_change>& changes);
     void on_store_state(const discovery::store_status& state);
@@ -73,7 +77,9 @@
     metrics::request_recorder request_recorder_;
     forwarding::gateway_state state_;
     home_server home_server_;
+    home_connections homes_;
     placement_client placements_;
+    usage_client usage_;
     role_controller role_controller_;
     discovery::registry_feed feed_;
     registry_publisher publisher_;
@@ -85,6 +91,8 @@
     forwarding::asio::steady_timer tick_timer_;
     caller_table callers_;
     time_point stopping_since_;
+    std::uint64_t key_seed_ = 0; ///< secret of the index of keys
+    bool was_outdated_ = false;  ///< the configuration, as last logged
     bool was_ready_ = false;
     bool is_graceful_ = true; ///< every request ended before the shutdown timeout
     std::unique_ptr<store::key_value_store> store_;
--- a/src/gateway/placement_client.cpp
+++ b/src/gateway/placement_client.cpp
@@ -44,6 +44,7 @@
     acquire.service = request.service;
     acquire.work_rank = request.is_late ? rank::deferrable : rank::urgent;
     acquire.level = request.priority;
+    acquire.team = context.owner() == nullptr ? team_id{} : context.owner()->id;
     acquire.avoided = request.excluded_engines;
     acquire.prompt_tokens = metadata.prompt_tokens;
     acquire.generated_tokens = request.generated_tokens;
@@ -81,8 +82,9 @@
 
 } // namespace
 
-placement_client::placement_client(forwarding::gateway_state& state, daemon_id self)
-    : state_(state), self_(std::move(self)) {}
+placement_client::placement_client(forwarding::gateway_state& state, daemon_id self,
+                                   home_connections& homes)
+    : state_(state), self_(std::move(self)), homes_(homes) {}
 
 placement_client::entry_ptr placement_client::find(const request_id& request,
                                                    attempt_number attempt) const {
@@ -90,30 +92,6 @@
     return found == entries_.end() ? nullptr : found->second;
 }
 
-std::vector<daemon_id> placement_client::homes_of(const cell_id& cell) const {
-    const auto known = homes_by_cell_.find(cell);
-    if (known != homes_by_cell_.end()) {
-        return known->second;
-    }
-    std::vector<scheduling::home_candidate> daemons;
-    daemons.reserve(candidates_.size());
-    for (const auto& [id, row] : candidates_) {
-        daemons.push_back({id, row.daemon.domain});
-    }
-    return homes_by_cell_[cell] = scheduling::spread_homes(cell, daemons, homes_per_cell);
-}
-
-placement_client::candidate* placement_client::connected_home(const cell_id& cell) {
-    for (const daemon_id& daemon : homes_of(cell)) {
-        candidate& row = candidates_.at(daemon);
-        const bool is_usable = row.avoid_until <= state_.time.now();
-        if (is_usable && row.channel && row.channel->is_open()) {
-            return &row;
-        }
-    }
-    return nullptr;
-}
-
 std::set<cell_id> placement_client::cells() const {
     std::set<cell_id> ids;
     if (!state_.table) {
@@ -143,7 +121,7 @@
     }
     context->set_end_handler({});
     if (!entry->is_answered) {
-        notify_homes(
+        homes_.send_to_all(
             entry->acquire.cell,
             rpc::withdraw{entry->acquire.request, entry->acquire.attempt, entry->acquire.cell});
         entries_.erase(name);
@@ -173,20 +151,18 @@
 }
 
 void placement_client::send_to_home(const entry_ptr& entry) {
-    candidate* home = connected_home(entry->acquire.cell);
-    entry->home = {};
+    entry->home = homes_.connected_home(entry->acquire.cell);
     entry->asked_at = state_.time.now();
-    if (home == nullptr && is_connecting(entry->acquire.cell)) {
+    if (entry->home.empty() && homes_.is_connecting(entry->acquire.cell)) {
         return; // It is sent once the connection is established.
     }
-    if (home == nullptr) {
+    if (entry->home.empty()) {
         entry->is_answered = true;
         entry->answer = answer_without_home(entry->acquire);
         entry->wake_timer->cancel();
         return;
     }
-    entry->home = home->daemon.id;
-    home->channel->send({entry->acquire});
+    homes_.send(entry->home, {entry->acquire});
 }
 
 placement_response placement_client::answer_without_home(const rpc::acquire& request) {
@@ -206,14 +182,6 @@
     return {placement_response::outcome::unreachable, {}, milliseconds{0}, "no home reached"};
 }
 
-bool placement_client::is_connecting(const cell_id& cell) const {
-    const auto order = homes_of(cell);
-    return std::any_of(order.begin(), order.end(), [this](const daemon_id& daemon) {
-        const candidate& row = candidates_.at(daemon);
-        return row.channel && !row.channel->is_open();
-    });
-}
-
 void placement_client::retry_unassigned(time_point now) {
     std::vector<entry_ptr> waiting;
     for (const auto& [name, entry] : entries_) {
@@ -227,19 +195,11 @@
     }
 }
 
-void placement_client::notify_homes(const cell_id& cell, const rpc::message& message) {
-    for (const daemon_id& daemon : homes_of(cell)) {
-        const candidate& row = candidates_.at(daemon);
-        if (row.channel && row.channel->is_open()) {
-            row.channel->send({message});
-        }
-    }
-}
-
 void placement_client::on_prefill_finished(const request_context& context,
                                            const placement_request& request) {
     const cell_id cell = cell_of(request.service);
-    notify_homes(cell, rpc::prefill_finished{context.metadata().id, request.attempt, cell, 0, {}});
+    homes_.send_to_all(cell,
+                       rpc::prefill_finished{context.metadata().id, request.attempt, cell, 0, {}});
     if (const auto entry = find(context.metadata().id, request.attempt)) {
         entry->grant.stage = rpc::grant_stage::transferring;
     }
@@ -249,7 +209,8 @@
                                       const placement_request& request) {
     const cell_id cell = cell_of(request.service);
     const auto& parts = context.metadata().shared_prompt_parts;
-    notify_homes(cell, rpc::first_token{context.metadata().id, request.attempt, cell, {}, parts});
+    homes_.send_to_all(cell,
+                       rpc::first_token{context.metadata().id, request.attempt, cell, {}, parts});
     if (const auto entry = find(context.metadata().id, request.attempt)) {
         entry->grant.stage = rpc::grant_stage::decoding;
     }
@@ -257,7 +218,7 @@
 
 void placement_client::on_engine_leaving(const discovery::backend& engine) {
     const cell_id cell = cell_of(engine.service);
-    notify_homes(cell, rpc::engine_leaving{cell, engine.id, engine.started});
+    homes_.send_to_all(cell, rpc::engine_leaving{cell, engine.id, engine.started});
 }
 
 void placement_client::on_attempt_ended(const request_context& context,
@@ -269,7 +230,7 @@
     if (end == placement_outcome::engine_crashed) {
         release.prompt_parts = context.metadata().shared_prompt_parts;
     }
-    notify_homes(cell, release);
+    homes_.send_to_all(cell, release);
     entries_.erase(cells::attempt_key(id, request.attempt));
 }
 
@@ -284,7 +245,7 @@
                                       rpc::release_outcome::superseded,
                                       0,
                                       {}};
-            candidates_.at(home).channel->send({unused});
+            homes_.send(home, {unused});
         }
         return;
     }
@@ -318,7 +279,7 @@
         return;
     }
     if (answer.reason == rpc::refusal_reason::leaving) {
-        candidates_.at(home).avoid_until = state_.time.now() + leaving_backoff;
+        homes_.avoid(home, state_.time.now() + leaving_backoff);
         send_to_home(entry);
         return;
     }
@@ -334,8 +295,8 @@
     suspects_ = known;
 }
 
-void placement_client::on_messages(const daemon_id& home,
-                                   const std::vector<rpc::message>& received) {
+void placement_client::on_home_messages(const daemon_id& home,
+                                        const std::vector<rpc::message>& received) {
     for (const rpc::message& message : received) {
         const auto dispatch = [&](const auto& received_message) {
             if constexpr (requires { handle(home, received_message); }) {
@@ -346,29 +307,9 @@
     }
 }
 
-void placement_client::connect(candidate& target) {
-    const daemon_id id = target.daemon.id;
-    net_error error;
-    const auto address = asio::ip::make_address(target.daemon.address.host, error);
-    if (error) {
-        return;
-    }
-    target.opened_at = state_.time.now();
-    target.channel = std::make_shared<peer_channel>(state_.loop, state_.time);
-    target.channel->on_messages(
-        [this](const daemon_id& home, const std::vector<rpc::message>& received) {
-            on_messages(home, received);
-        });
-    target.channel->on_close([this](const daemon_id& home) { on_close(home); });
-    target.channel->open(self_, id, {address, target.daemon.address.port},
-                         [this, id] { on_open(id); });
-}
-
-void placement_client::on_open(const daemon_id& home) {
-    state_.log.write(weight::notable, "home.reached", {{"home", home.str()}});
-    candidates_.at(home).is_established = true;
+void placement_client::on_home_open(const daemon_id& home) {
     if (!suspects_.parts.empty()) {
-        candidates_.at(home).channel->send({suspects_});
+        homes_.send(home, {suspects_});
     }
     register_grants(home);
     std::vector<entry_ptr> waiting;
@@ -383,10 +324,9 @@
 }
 
 void placement_client::register_grants(const daemon_id& home) {
-    const candidate& row = candidates_.at(home);
     const time_point now = state_.time.now();
     for (const cell_id& cell : cells()) {
-        const auto order = homes_of(cell);
+        const auto order = homes_.homes_of(cell);
         if (std::find(order.begin(), order.end(), home) == order.end()) {
             continue;
         }
@@ -399,24 +339,11 @@
                 registration.grants.push_back(std::move(record));
             }
         }
-        row.channel->send({registration});
+        homes_.send(home, {registration});
     }
 }
 
-void placement_client::on_close(const daemon_id& home) {
-    const auto found = candidates_.find(home);
-    if (found == candidates_.end()) {
-        return;
-    }
-    state_.log.write(weight::notable, "home.lost", {{"home", home.str()}});
-    candidate& row = found->second;
-    const time_point now = state_.time.now();
-    // A connection that was stable is reopened at once: it may have been reset.
-    const bool was_stable = row.is_established && now - row.opened_at > unreachable_backoff;
-    row.channel.reset();
-    row.is_established = false;
-    row.avoid_until = was_stable ? now : now + unreachable_backoff;
-    connect_to_homes();
+void placement_client::on_home_close(const daemon_id& home) {
     std::vector<entry_ptr> orphans;
     for (const auto& [name, entry] : entries_) {
         if (!entry->is_answered && entry->home == home) {
@@ -439,80 +366,8 @@
     return oldest;
 }
 
-void placement_client::close_if_timed_out(candidate& row, time_point now) {
-    if (!row.channel) {
-        return;
-    }
-    const auto channel = row.channel;
-    if (!channel->is_open()) {
-        if (now - row.opened_at > home_connect_timeout) {
-            channel->close();
-        }
-        return;
-    }
-    const auto entry = oldest_unanswered(row.daemon.id);
-    const bool is_idle_timed_out = now - channel->last_received_at() > idle_heartbeat_timeout;
-    const bool is_busy_timed_out =
-        entry && now - std::max(*entry, channel->last_received_at()) > busy_heartbeat_timeout;
-    if (is_idle_timed_out || is_busy_timed_out) {
-        channel->close();
-    }
-}
-
 void placement_client::tick() {
-    const time_point now = state_.time.now();
-    std::vector<daemon_id> ids;
-    for (const auto& [id, row] : candidates_) {
-        ids.push_back(id);
-    }
-    for (const daemon_id& id : ids) {
-        close_if_timed_out(candidates_.at(id), now);
-    }
-    connect_to_homes();
-    retry_unassigned(now);
-}
-
-void placement_client::connect_to_homes() {
-    const time_point now = state_.time.now();
-    for (const cell_id& cell : cells()) {
-        for (const daemon_id& daemon : homes_of(cell)) {
-            candidate& row = candidates_.at(daemon);
-            if (row.avoid_until > now) {
-                continue;
-            }
-            if (!row.channel) {
-                connect(row);
-            }
-            break;
-        }
-    }
-}
-
-void placement_client::set_daemons(std::vector<discovery::registered_daemon> daemons) {
-    std::map<daemon_id, candidate> updated;
-    for (discovery::registered_daemon& daemon : daemons) {
-        const auto known = candidates_.find(daemon.id);
-        const bool is_same = known != candidates_.end() && known->second.daemon == daemon;
-        const daemon_id id = daemon.id;
-        if (is_same) {
-            updated[id] = known->second;
-        } else {
-            updated[id].daemon = std::move(daemon);
-        }
-    }
-    std::vector<std::shared_ptr<peer_channel>> dropped;
-    for (auto& [id, row] : candidates_) {
-        const auto retained = updated.find(id);
-        if (row.channel && (retained == updated.end() || retained->second.channel != row.channel)) {
-            dropped.push_back(row.channel);
-        }
-    }
-    candidates_ = std::move(updated);
-    homes_by_cell_.clear();
-    for (const auto& channel : dropped) {
-        channel->close();
-    }
-    tick();
+    retry_unassigned(state_.time.now());
 }
 
 } // namespace cicadahatch::gateway
--- a/src/gateway/registry_publisher.hpp
+++ b/src/gateway/registry_publisher.hpp
@@ -6,16 +6,21 @@
 #include "src/gateway/listener.hpp"
 #include "src/gateway/peer_channel.hpp"
 
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace cicadahatch::gateway {
 
-/// \brief Relays the changes that this daemon reads from the store to subscribed daemons. Ignores
-/// messages from them. Not thread-safe: used by the event loop's thread only.
+/// \brief Relays the changes that this daemon reads from the store to subscribed daemons, and their
+/// age to those that send their clock reading. Not thread-safe: used by the event loop's thread
+/// only.
 class registry_publisher {
 public:
-    registry_publisher(forwarding::asio::io_context& loop, const clock& time);
+    /// \param lease_time keeps running while the VM is suspended; the clock of the deltas
+    registry_publisher(forwarding::asio::io_context& loop, const clock& time,
+                       const clock& lease_time);
 
     [[nodiscard]] result<void> open(const http::endpoint& place);
 
@@ -28,15 +33,22 @@
     /// \brief Removes closed connections. Called several times a second.
     void tick();
 
-    [[nodiscard]] std::size_t subscribers() const noexcept { return channels_.size(); }
+    [[nodiscard]] std::size_t subscribers() const noexcept { return subscribers_.size(); }
 
 private:
+    struct subscriber {
+        std::shared_ptr<peer_channel> channel;
+        std::optional<std::uint64_t> stamp; ///< its newest clock reading
+    };
+
     void accept(forwarding::tcp::socket socket);
+    void record_stamp(const peer_channel* channel, const std::vector<rpc::message>& received);
 
     forwarding::asio::io_context& loop_;
     const clock& time_;
+    const clock& lease_time_;
     listener listener_;
-    std::vector<std::shared_ptr<peer_channel>> channels_;
+    std::vector<subscriber> subscribers_;
 };
 
 } // namespace cicadahatch::gateway
--- a/src/gateway/registry_subscriber.cpp
+++ b/src/gateway/registry_subscriber.cpp
@@ -130,6 +130,28 @@
     }
 }
 
+/// \returns until when the publications so far are complete, by the lease clock; empty: not stated
+std::optional<time_point>
+registry_subscriber::find_completeness(const std::vector<rpc::message>& received) const {
+    for (const rpc::message& message : received) {
+        const auto* stated = std::get_if<rpc::registry_age>(&message);
+        if (stated == nullptr || lease_time_ == nullptr) {
+            continue;
+        }
+        // The poll began at most this long before the publisher had the stamp.
+        const time_point stamped{duration{static_cast<std::int64_t>(stated->stamp)}};
+        return std::min(stamped, lease_time_->now()) - stated->age;
+    }
+    return std::nullopt;
+}
+
+void registry_subscriber::send_stamp(const source& to) const {
+    if (lease_time_ != nullptr && to.channel) {
+        const duration reading = lease_time_->now().time_since_epoch();
+        to.channel->send({rpc::registry_ping{static_cast<std::uint64_t>(reading.count())}});
+    }
+}
+
 void registry_subscriber::on_messages(const daemon_id& from,
                                       const std::vector<rpc::message>& received) {
     const auto row = std::find_if(predecessors_.begin(), predecessors_.end(),
@@ -138,17 +160,20 @@
         return;
     }
     for (const rpc::message& message : received) {
-        const auto* delta = std::get_if<rpc::registry_look>(&message);
-        if (delta == nullptr) {
+        const auto* published = std::get_if<rpc::registry_look>(&message);
+        if (published == nullptr) {
             continue;
         }
         if (row->last_received_at == time_point{}) {
             log_.write(logging::weight::notable, "registry.source.heard",
-                       {{"source", from.str()}, {"revision", delta->through.value()}});
+                       {{"source", from.str()}, {"revision", published->through.value()}});
         }
         row->last_received_at = time_.now();
-        on_delta_(to_delta(*delta));
+        discovery::store_delta delta = to_delta(*published);
+        delta.complete_as_of = find_completeness(received);
+        on_delta_(std::move(delta));
     }
+    send_stamp(*row);
 }
 
 std::vector<daemon_id> registry_subscriber::sources() const {
--- a/src/gateway/registry_subscriber.hpp
+++ b/src/gateway/registry_subscriber.hpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace cicadahatch::gateway {
@@ -28,6 +29,10 @@
                         logging::event_log& log, daemon_id self, domain_id domain,
                         std::chrono::milliseconds timeout, delta_handler on_delta);
 
+    /// \brief Measures the age of what is received. Sends a clock reading after each publication.
+    /// \param lease_time keeps running while the VM is suspended; outlives this object
+    void measure_age(const clock& lease_time) { lease_time_ = &lease_time; }
+
     /// \brief Replaces the list of registered daemons.
     void set_daemons(const std::vector<discovery::registered_daemon>& daemons);
 
@@ -54,6 +59,9 @@
     void drop_if_timed_out(source& row, time_point now);
     void close_surplus();
     void on_messages(const daemon_id& from, const std::vector<rpc::message>& received);
+    [[nodiscard]] std::optional<time_point>
+    find_completeness(const std::vector<rpc::message>& received) const;
+    void send_stamp(const source& to) const;
 
     forwarding::asio::io_context& loop_;
     const clock& time_;
@@ -62,7 +70,8 @@
     domain_id domain_;
     std::chrono::milliseconds timeout_;
     delta_handler on_delta_;
-    std::vector<source> predecessors_; ///< in rendezvous order
+    const clock* lease_time_ = nullptr; ///< null: the age is not measured
+    std::vector<source> predecessors_;  ///< in rendezvous order
 };
 
 } // namespace cicadahatch::gateway
--- a/src/routing/route.hpp
+++ b/src/routing/route.hpp
@@ -38,6 +38,7 @@
     std::vector<weighted_service> services;             ///< at least one
     std::uint32_t max_attempts = 1; ///< backend servers to which a request may be sent
     bool is_resumable = false;      ///< a broken stream may be resumed on another engine
+    bool is_public = false;         ///< requests need no key
 };
 
 /// \brief Properties shared by all engines of a model service.
@@ -59,6 +60,25 @@
     std::optional<engine_traits> engine; ///< absent for plain services
 };
 
+/// \brief Limit on the work that a team may have done, summed over all daemons. A unit is a token
+/// or a request.
+struct usage_cap {
+    double units_per_second = 0;    ///< zero: no limit
+    double burst = 0;               ///< units beyond the rate
+    bool counts_tokens = false;     ///< else requests are counted
+    std::uint32_t plain_tokens = 0; ///< of a request that states no token counts
+
+    friend bool operator==(const usage_cap&, const usage_cap&) = default;
+};
+
+/// \brief A team that owns callers.
+struct team {
+    team_id id;
+    std::vector<std::string> keys;
+    std::optional<std::uint32_t> priority; ///< takes precedence over that of the route
+    usage_cap cap;
+};
+
 /// \brief Limits on the requests that callers send.
 struct input_limits {
     std::size_t head_bytes = 16384;
@@ -73,6 +93,7 @@
     std::vector<route> routes;
     std::vector<service> services;
     input_limits limits;
+    std::optional<std::vector<team>> teams{}; ///< if present, requests need a team's key
 };
 
 } // namespace cicadahatch::routing
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -19,13 +19,12 @@
 
 } // namespace
 
-route_table::route_table(configuration source) : configuration_(std::move(source)) {
+route_table::route_table(configuration source, std::uint64_t key_seed)
+    : configuration_(std::move(source)), keys_(teams(), key_seed) {
     for (std::size_t index = 0; index < configuration_.routes.size(); ++index) {
         const route& entry = configuration_.routes[index];
         by_host_[normalized_host(entry.host)].push_back(index);
-        for (const weighted_service& weighted : entry.services) {
-            priorities_[weighted.service].insert(entry.priority);
-        }
+        add_priorities(entry);
     }
     const auto has_longer_prefix = [this](std::size_t left, std::size_t right) {
         return configuration_.routes[left].path_prefix.size() >
@@ -39,6 +38,28 @@
     }
 }
 
+const std::vector<team>& route_table::teams() const noexcept {
+    static const std::vector<team> none;
+    return configuration_.teams ? *configuration_.teams : none;
+}
+
+route_table::request_priority route_table::priority_of(const route& route, const team* owner) {
+    const bool has_priority = owner != nullptr && owner->priority;
+    return {has_priority ? *owner->priority : route.priority, route.priority};
+}
+
+void route_table::add_priorities(const route& route) {
+    for (const weighted_service& weighted : route.services) {
+        auto& known = priorities_[weighted.service];
+        if (!requires_key(route)) {
+            known.insert(priority_of(route, nullptr));
+        }
+        for (const team& owner : teams()) {
+            known.insert(priority_of(route, &owner));
+        }
+    }
+}
+
 const route* route_table::find(std::string_view host, std::string_view target) const {
     const auto found = by_host_.find(normalized_host(host));
     if (found == by_host_.end()) {
@@ -54,13 +75,14 @@
     return nullptr;
 }
 
-std::uint8_t route_table::priority_level(const route& route, const service_id& service) const {
+std::uint8_t route_table::priority_level(const route& route, const service_id& service,
+                                         const team* owner) const {
     const auto found = priorities_.find(service);
     if (found == priorities_.end()) {
         return 0;
     }
     const auto more_urgent =
-        std::distance(found->second.begin(), found->second.lower_bound(route.priority));
+        std::distance(found->second.begin(), found->second.lower_bound(priority_of(route, owner)));
     constexpr std::ptrdiff_t last_level = std::numeric_limits<std::uint8_t>::max();
     return static_cast<std::uint8_t>(std::min<std::ptrdiff_t>(more_urgent, last_level));
 }
--- a/src/rpc/internal/message_fields.hpp
+++ b/src/rpc/internal/message_fields.hpp
@@ -180,6 +180,33 @@
     return std::tuple{&crashing_parts::parts};
 }
 
+constexpr auto fields_of(tag<registry_ping>) {
+    return std::tuple{&registry_ping::stamp};
+}
+
+constexpr auto fields_of(tag<registry_age>) {
+    return std::tuple{&registry_age::stamp, &registry_age::age};
+}
+
+constexpr auto fields_of(tag<usage_request>) {
+    return std::tuple{&usage_request::ticket, &usage_request::team, &usage_request::units,
+                      &usage_request::extra};
+}
+
+constexpr auto fields_of(tag<usage_answer>) {
+    return std::tuple{&usage_answer::ticket,   &usage_answer::is_granted,
+                      &usage_answer::is_final, &usage_answer::is_leaving,
+                      &usage_answer::units,    &usage_answer::retry_after};
+}
+
+constexpr auto fields_of(tag<usage_return>) {
+    return std::tuple{&usage_return::team, &usage_return::units};
+}
+
+constexpr auto fields_of(tag<usage_presence>) {
+    return std::tuple{&usage_presence::reserved};
+}
+
 /// \brief The largest enumerator of each enumeration that travels; larger numbers are malformed.
 constexpr auto last_enumerator(tag<rank>) {
     return rank::deferrable;
--- a/src/rpc/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -291,10 +291,53 @@
     std::vector<crashing_part> parts;
 };
 
+/// \brief A subscriber's clock reading, which the publisher returns with its next publications.
+struct registry_ping {
+    std::uint64_t stamp = 0; ///< nanoseconds of a clock that only the subscriber knows
+};
+
+/// \brief Age of what the publisher has read, with the subscriber's newest stamp. What was accepted
+/// this long before the stamp is contained in the publications so far, however late they arrive.
+struct registry_age {
+    std::uint64_t stamp = 0;
+    std::chrono::milliseconds age{}; ///< since the published poll of the store began
+};
+
+/// \brief Asks the home of the usage accounts for units of a team.
+struct usage_request {
+    std::uint64_t ticket = 0; ///< returned in the answer
+    team_id team;
+    std::uint64_t units = 0; ///< granted whole or not at all
+    std::uint64_t extra = 0; ///< granted in advance if the team has room
+};
+
+/// \brief Answer to a usage_request.
+struct usage_answer {
+    std::uint64_t ticket = 0;
+    bool is_granted = false;
+    bool is_final = false;                   ///< the request exceeds the cap at any time
+    bool is_leaving = false;                 ///< the daemon asked shuts down; nothing was decided
+    std::uint64_t units = 0;                 ///< granted, with those in advance
+    std::chrono::milliseconds retry_after{}; ///< if not granted and not final
+};
+
+/// \brief Gives units back that were granted and not used.
+struct usage_return {
+    team_id team;
+    std::uint64_t units = 0;
+};
+
+/// \brief Tells the home of the usage accounts that the sender relies on it.
+struct usage_presence {
+    std::uint32_t reserved = 0;
+};
+
 /// \brief Any message. A message's number on the wire is its place here: append at the end only.
-using message = std::variant<acquire, granted, refused, prefill_finished, first_token, release,
-                             withdraw, register_grants, copy_grants, request_registration, gossip,
-                             sync_request, sync_reply, fetch_configuration, configuration_shard,
-                             engine_leaving, registry_look, crashing_parts>;
+using message =
+    std::variant<acquire, granted, refused, prefill_finished, first_token, release, withdraw,
+                 register_grants, copy_grants, request_registration, gossip, sync_request,
+                 sync_reply, fetch_configuration, configuration_shard, engine_leaving,
+                 registry_look, crashing_parts, registry_ping, registry_age, usage_request,
+                 usage_answer, usage_return, usage_presence>;
 
 } // namespace cicadahatch::rpc
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -35,7 +35,10 @@
     std::uint32_t retry_extra = 10;                ///< beside them in each window, all daemons
     std::chrono::milliseconds transit{120};        ///< of an event from its engine to the caller
     std::chrono::milliseconds order_lease{3000};   ///< between orders of two daemons to one engine
-    bool engines_check_fencing = false; ///< engines refuse orders under old fencing numbers
+    bool engines_check_fencing = false;      ///< engines refuse orders under old fencing numbers
+    std::chrono::milliseconds revocation{0}; ///< until a withdrawn key is refused; zero: no bound
+    /// Units by which all daemons together may exceed a team's usage cap.
+    std::uint32_t usage_slack = 0;
 };
 
 /// \brief Settings of a daemon that serves the backend servers registered in the store.
--- a/src/settings/internal/gateway_fields.cpp
+++ b/src/settings/internal/gateway_fields.cpp
@@ -13,6 +13,7 @@
 constexpr std::uint32_t most_descriptors = 1U << 20U;
 constexpr double most_retry_ratio = 10.0;
 constexpr std::uint32_t most_retry_extra = 1'000'000;
+constexpr std::uint32_t most_usage_slack = 1'000'000'000;
 
 codec<std::chrono::milliseconds> short_time() {
     return time<std::chrono::milliseconds>(1ms, 3600s, "ms");
@@ -59,6 +60,12 @@
                    "least time between orders of two daemons to one engine"),
         make_field("engines_check_fencing", &installation_bounds::engines_check_fencing, boolean(),
                    "whether engines refuse orders under old fencing numbers"),
+        make_field("revocation_ms", &installation_bounds::revocation,
+                   time<std::chrono::milliseconds>(0ms, 3600s, "ms"),
+                   "time after which no request with a withdrawn key is admitted, whatever fails; "
+                   "0: only the configuration that has been read counts"),
+        make_field("usage_slack", &installation_bounds::usage_slack, integer(0U, most_usage_slack),
+                   "units by which all daemons together may exceed a team's usage cap"),
     };
 }
 
--- a/test/discovery/registry_feed_test.cpp
+++ b/test/discovery/registry_feed_test.cpp
@@ -258,3 +258,29 @@
     receiver.feed.set_relaying(false);
     CHECK_FALSE(receiver.feed.take(0ms));
 }
+
+TEST_CASE_FIXTURE(
+    registry_feed_fixture,
+    "poll, relayed delta, keeps the time until which its reader says it is complete") {
+    put("config", "2");
+    static_cast<void>(relay.follower.poll().value());
+    REQUIRE_FALSE(relay.deltas.empty());
+    store_delta delta = relay.deltas.back();
+    delta.complete_as_of = time.now() - 700ms;
+    receiver.feed.offer(delta);
+    const auto update = receiver.follower.poll();
+    REQUIRE(update);
+    CHECK(update->complete_as_of == time.now() - 700ms);
+}
+
+TEST_CASE_FIXTURE(registry_feed_fixture,
+                  "poll, store read while its age is measured, complete as of the call") {
+    relay.follower.on_confirmation(time, [](time_point) {});
+    put("config", "2");
+    const time_point called_at = time.now();
+    const auto update = relay.follower.poll();
+    REQUIRE(update);
+    CHECK(update->complete_as_of == called_at);
+    REQUIRE_FALSE(relay.deltas.empty());
+    CHECK(relay.deltas.back().complete_as_of == called_at);
+}
--- a/test/forwarding/plain_forward_test.cpp
+++ b/test/forwarding/plain_forward_test.cpp
@@ -53,7 +53,7 @@
                            }};
     metrics::registry metric_registry;
     metrics::request_recorder recorder{time};
-    forwarding::gateway_state state{loop, time, wire, log, metric_registry, recorder, {}, {}};
+    forwarding::gateway_state state{loop, time, time, wire, log, metric_registry, recorder, {}, {}};
 
     stalled_gateway_fixture() {
         discovery::backend registration;
--- a/test/gateway/home_server_test.cpp
+++ b/test/gateway/home_server_test.cpp
@@ -37,8 +37,8 @@
     metrics::registry values;
     metrics::request_recorder recorded{time};
     gateway::platform_binding binding = platform::binding();
-    forwarding::gateway_state state{loop,   time,     binding.wire,   log,
-                                    values, recorded, domain_id{"a"}, {}};
+    forwarding::gateway_state state{loop,     time,           time, binding.wire, log, values,
+                                    recorded, domain_id{"a"}, {}};
     gateway::home_server homes{state, gateway::gateway_policy()};
     tcp::endpoint place;
 
--- a/test/platform/entries_test.cpp
+++ b/test/platform/entries_test.cpp
@@ -151,3 +151,31 @@
     CHECK_FALSE(read_backend(opening + opening));
     CHECK(peak_memory_kb() - before < allowed_growth);
 }
+
+TEST_CASE("read_configuration, teams, decodes keys, priority and cap") {
+    const auto read = platform::read_configuration(make_entry(
+        "op/config",
+        R"({"version":1,"services":[],"routes":[{"name":"r","host":"h","prefix":"/p/",)"
+        R"("kind":"idempotent","service":"s","public":true}],"tenants":[{"name":"blue",)"
+        R"("apiKeys":["k1","k2"],"priority":1,"unit":"tokens","plainTokens":200,"ratePerS":29000,)"
+        R"("burst":29000},{"name":"red","apiKeys":["k3"]}]})"));
+    REQUIRE(read);
+    CHECK(read->routes.at(0).is_public);
+    REQUIRE(read->teams);
+    REQUIRE(read->teams->size() == 2);
+    const routing::team& blue = read->teams->at(0);
+    CHECK(blue.id == team_id{"blue"});
+    CHECK(blue.keys == std::vector<std::string>{"k1", "k2"});
+    CHECK(blue.priority == 1);
+    CHECK(blue.cap == routing::usage_cap{29000, 29000, true, 200});
+    const routing::team& red = read->teams->at(1);
+    CHECK_FALSE(red.priority);
+    CHECK(red.cap.units_per_second == 0);
+}
+
+TEST_CASE("read_configuration, no teams, callers need no keys") {
+    const auto read = platform::read_configuration(
+        make_entry("op/config", test_support::sample_platform_configuration(9)));
+    REQUIRE(read);
+    CHECK_FALSE(read->teams);
+}
--- a/test/platform/wire_test.cpp
+++ b/test/platform/wire_test.cpp
@@ -155,3 +155,25 @@
     CHECK_FALSE(wire.parse_report(R"({"running":-1,"kvUsed":0})"));
     CHECK_FALSE(wire.parse_report(R"({"running":1,"kvUsed":0,"seq":1e300})"));
 }
+
+TEST_CASE_FIXTURE(wire_fixture, "parse_request, key, is read with its scheme only") {
+    CHECK_FALSE(wire.parse_request(head).key);
+    head.set("Authorization", "Token  abc");
+    CHECK(wire.parse_request(head).key == "abc");
+    head.set("Authorization", "tOKEN abc");
+    CHECK(wire.parse_request(head).key == "abc");
+    for (const char* value : {"Token", "Token ", "Basic abc", "Tokenabc", ""}) {
+        head.set("Authorization", value);
+        CHECK_FALSE(wire.parse_request(head).key);
+    }
+}
+
+TEST_CASE_FIXTURE(wire_fixture, "set_team, key and team of the caller, are replaced by the team") {
+    head.set("Authorization", "Token abc");
+    head.set("X-Cicadahatch-Tenant", "forged");
+    wire.set_team(head, team_id{"blue"});
+    CHECK(field("Authorization").empty());
+    CHECK(field("X-Cicadahatch-Tenant") == "blue");
+    wire.set_team(head, {});
+    CHECK(field("X-Cicadahatch-Tenant").empty());
+}
--- a/test/rpc/batch_test.cpp
+++ b/test/rpc/batch_test.cpp
@@ -91,7 +91,13 @@
                       {{"k", std::string("\x00\xff", 2), revision{22}, false},
                        {"gone", "", revision{23}, true}},
                       24ms},
-        crashing_parts{{{29, 30, {29, 31}, 32ms}}}};
+        crashing_parts{{{29, 30, {29, 31}, 32ms}}},
+        registry_ping{33},
+        registry_age{34, 35ms},
+        usage_request{36, team_id{"t"}, 37, 38},
+        usage_answer{39, true, true, true, 40, 41ms},
+        usage_return{team_id{"t"}, 42},
+        usage_presence{43}};
     return sent;
 }
 
