Callers: one account of memory, and unfinished requests give way

In a trial of the users, many unfinished chunked bodies ended a process. A body was read whole before it was compared with the bound, and heads, copies for sends and responses were not counted (caller_connection::read_request, admit).

Bytes are now read only after room for them was reserved in forwarding::memory_account, a quarter of the memory of the settings as before. When it ends, requests without progress give way, the largest first, then the youngest of those larger than the one that needs room; requests in progress and responses don't. When connections run out, the request that has stalled for longest gives way after idle ones.

--- a/src/forwarding/caller_connection.cpp
+++ b/src/forwarding/caller_connection.cpp
@@ -43,29 +43,27 @@
     return message;
 }
 
-/// Counts a request in progress and its body until the end of the scope, also if an exception ends
-/// it.
+/// Counts a request in progress until the end of the scope, also if an exception ends it.
 class running_request {
 public:
-    running_request(gateway_state& state, std::size_t body_bytes)
-        : state_(state), body_bytes_(body_bytes) {
-        state_.buffered_bytes += body_bytes_;
-        ++state_.running_requests;
-    }
+    explicit running_request(gateway_state& state) : state_(state) { ++state_.running_requests; }
     running_request(const running_request&) = delete;
     running_request& operator=(const running_request&) = delete;
     running_request(running_request&&) = delete;
     running_request& operator=(running_request&&) = delete;
-    ~running_request() {
-        --state_.running_requests;
-        state_.buffered_bytes -= body_bytes_;
-    }
+    ~running_request() { --state_.running_requests; }
 
 private:
     gateway_state& state_;
-    std::size_t body_bytes_;
 };
 
+/// Smallest room for a chunked body, and the factor by which it grows.
+constexpr std::size_t min_body_capacity = 4096;
+constexpr std::size_t body_growth = 2;
+
+/// Room of a chunked body that is read next; a read never takes more.
+constexpr std::size_t max_read_bytes = 2048;
+
 } // namespace
 
 caller_connection::caller_connection(gateway_state& state, tcp::socket socket)
@@ -130,26 +128,92 @@
     co_return !is_aborted_ && (!error || has_unread_bytes());
 }
 
+void caller_connection::begin_reading() {
+    is_evicted_ = false;
+    reading_ = forwarding::begin_reading(state_.memory, state_.time.now());
+    state_.eviction_handlers[reading_] = [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->is_evicted_ = true;
+            net_error ignored; // Fails only if no operation is pending.
+            self->socket_.cancel(ignored);
+        }
+    };
+}
+
+void caller_connection::end_reading() {
+    state_.eviction_handlers.erase(reading_);
+    forwarding::end_reading(state_.memory, reading_);
+}
+
+bool caller_connection::reserve_for_read(request_parser& parser) {
+    std::string& body = parser.get().body();
+    std::size_t capacity = body.capacity();
+    // A body with a stated length has its room since the head was read.
+    if (parser.is_header_done() && body.size() + max_read_bytes > capacity) {
+        capacity = std::min(std::max(min_body_capacity, body_growth * capacity),
+                            limits().body_bytes + max_read_bytes);
+    }
+    const std::size_t head_room = std::max(buffer_.capacity(), max_read_bytes);
+    const auto grant =
+        resize_reading(state_.memory, reading_, capacity + head_room, state_.time.now());
+    if (!apply_grant(state_, grant)) {
+        is_evicted_ = true;
+        return false;
+    }
+    body.reserve(capacity);
+    return true;
+}
+
+asio::awaitable<net_error> caller_connection::read_until(request_parser& parser, read_goal goal) {
+    const auto is_reached = [&parser, goal] {
+        return goal == read_goal::head ? parser.is_header_done() : parser.is_done();
+    };
+    net_error error;
+    while (!error && !is_reached()) {
+        if (is_evicted_ || !reserve_for_read(parser)) {
+            error = asio::error::no_memory;
+            break;
+        }
+        const std::size_t received =
+            co_await beast_http::async_read_some(socket_, buffer_, parser, capture_error(error));
+        record_received(state_.memory, reading_, received, state_.time.now());
+    }
+    co_return error;
+}
+
 asio::awaitable<void> caller_connection::reject(const net_error& error) {
     is_keep_alive_ = false;
-    if (has_expired_) {
+    if (is_evicted_) {
+        co_await send(unavailable_response("out of memory for requests", memory_retry_after));
+    } else if (has_expired_) {
         co_await send(local_response(static_cast<unsigned>(beast_http::status::request_timeout),
                                      "request not received in time"));
     } else if (is_parser_error(error)) {
         co_await send(local_response(status_of(error), "request not understood"));
     }
-    state_.log.write(logging::weight::notable, "caller.rejected",
-                     {{"error", error.message()}, {"expired", has_expired_}});
+    state_.log.write(
+        logging::weight::notable, "caller.rejected",
+        {{"error", error.message()}, {"expired", has_expired_}, {"evicted", is_evicted_}});
+}
+
+asio::awaitable<void> caller_connection::discard_and_reject(request_parser& parser,
+                                                            net_error error) {
+    // The response may take seconds to send.
+    std::string{}.swap(parser.get().body());
+    if (is_evicted_) {
+        buffer_ = {};
+    }
+    end_reading();
+    co_await reject(error);
 }
 
 asio::awaitable<bool> caller_connection::read_request(request_parser& parser,
                                                       std::optional<backend_request>& message) {
     start_timeout(limits().head_timeout);
-    net_error error;
-    co_await beast_http::async_read_header(socket_, buffer_, parser, capture_error(error));
+    net_error error = co_await read_until(parser, read_goal::head);
     if (error) {
         stop_timeout();
-        co_await reject(error);
+        co_await discard_and_reject(parser, error);
         co_return false;
     }
     version_ = parser.get().version();
@@ -157,7 +221,8 @@
     is_keep_alive_ = parser.keep_alive();
     if (check_head(parser.get()) != head_fault::none) {
         stop_timeout();
-        co_await reject(beast_http::make_error_code(beast_http::error::bad_target));
+        co_await discard_and_reject(parser,
+                                    beast_http::make_error_code(beast_http::error::bad_target));
         co_return false;
     }
     // Trailer fields of a chunked body must not be merged into the head, so copy the head first.
@@ -168,32 +233,45 @@
                                    asio::buffer(continue_response.data(), continue_response.size()),
                                    capture_error(error));
     }
-    if (!error && !parser.is_done()) {
-        co_await beast_http::async_read(socket_, buffer_, parser, capture_error(error));
+    if (!error) {
+        // Parses all chunks that one read has returned, not one at a time.
+        parser.eager(true);
+        error = co_await read_until(parser, read_goal::whole_request);
     }
     stop_timeout();
     if (error) {
-        co_await reject(error);
+        co_await discard_and_reject(parser, error);
         co_return false;
     }
     message->body() = std::move(parser.get().body());
     // RFC 9110, 9.3.8; Beast throws on sending such a request.
     if (message->method() == beast_http::verb::trace && !message->body().empty()) {
-        co_await reject(beast_http::make_error_code(beast_http::error::bad_method));
+        co_await discard_and_reject(parser,
+                                    beast_http::make_error_code(beast_http::error::bad_method));
         co_return false;
     }
+    end_reading();
     co_return true;
 }
 
+void caller_connection::release_buffer() {
+    // A large head leaves a large buffer, which an idle connection would keep.
+    if (buffer_.size() == 0 && buffer_.capacity() > max_read_bytes) {
+        buffer_ = {};
+    }
+}
+
 asio::awaitable<bool> caller_connection::serve_request() {
     request_parser parser;
     buffer_.max_size(std::max(buffer_.size(), limits().head_bytes + http::max_unparsed_bytes));
     parser.header_limit(static_cast<std::uint32_t>(limits().head_bytes));
     parser.body_limit(limits().body_bytes);
     std::optional<backend_request> message;
+    begin_reading();
     if (!co_await read_request(parser, message)) {
         co_return false;
     }
+    release_buffer();
     is_response_sent_ = false;
     is_chunked_ = version_ > http_1_0;
     const admission admitted = admit(state_, std::move(*message));
@@ -201,7 +279,8 @@
         co_await send(admitted.rejection);
         co_return is_keep_alive_;
     }
-    const running_request running{state_, admitted.request->message.body().size()};
+    const running_request running{state_};
+    const held_memory body{state_, admitted.memory};
     co_await run_request(admitted.request);
     co_return is_keep_alive_ && !is_aborted_;
 }
@@ -256,6 +335,8 @@
     } else {
         response.body().clear();
     }
+    hold_unconditionally(state_.memory, response.body().size());
+    const held_memory held{state_, response.body().size()};
     start_timeout(slow_reader_timeout);
     net_error error;
     beast_http::response_serializer<beast_http::string_body> serializer{response};
--- a/src/forwarding/caller_connection.hpp
+++ b/src/forwarding/caller_connection.hpp
@@ -16,6 +16,11 @@
 class caller_connection : public std::enable_shared_from_this<caller_connection> {
 public:
     caller_connection(gateway_state& state, tcp::socket socket);
+    caller_connection(const caller_connection&) = delete;
+    caller_connection& operator=(const caller_connection&) = delete;
+    caller_connection(caller_connection&&) = delete;
+    caller_connection& operator=(caller_connection&&) = delete;
+    ~caller_connection() { end_reading(); }
 
     /// \brief Serves requests until the connection is closed.
     [[nodiscard]] asio::awaitable<void> serve();
@@ -41,7 +46,19 @@
 private:
     using request_parser = beast_http::request_parser<beast_http::string_body>;
 
+    /// What read_until() reads.
+    enum class read_goal : std::uint8_t { head, whole_request };
+
     [[nodiscard]] bool has_unread_bytes() const;
+    void begin_reading();
+    void end_reading();
+    /// \brief Reserves memory for the next read, if necessary by evicting other callers.
+    /// \returns whether there is room
+    [[nodiscard]] bool reserve_for_read(request_parser& parser);
+    [[nodiscard]] asio::awaitable<net_error> read_until(request_parser& parser, read_goal goal);
+    /// \brief Frees what was read and answers with the reason.
+    [[nodiscard]] asio::awaitable<void> discard_and_reject(request_parser& parser, net_error error);
+    void release_buffer();
     [[nodiscard]] asio::awaitable<bool> wait_for_request();
     [[nodiscard]] asio::awaitable<bool> serve_request();
     [[nodiscard]] asio::awaitable<bool> read_request(request_parser& parser,
@@ -59,6 +76,8 @@
     tcp::socket socket_;
     asio::steady_timer timeout_timer_;
     boost::beast::flat_buffer buffer_; ///< bounded before each request is read
+    reading_id reading_;               ///< the request that is being read
+    bool is_evicted_ = false;          ///< its memory or connection was needed for others
     bool is_keep_alive_ = true;
     bool has_expired_ = false;
     bool is_idle_ = true;
--- a/src/forwarding/constants.hpp
+++ b/src/forwarding/constants.hpp
@@ -16,6 +16,9 @@
 /// Largest response that is buffered until it is complete.
 inline constexpr std::size_t max_full_response_bytes = 4UL * 1024 * 1024;
 
+/// Retry-After of a request that was refused for memory, which becomes free as requests end.
+inline constexpr std::chrono::milliseconds memory_retry_after{500};
+
 /// Timeout for writes to a caller that does not read.
 inline constexpr std::chrono::milliseconds slow_reader_timeout{10'000};
 
--- a/src/forwarding/forward.cpp
+++ b/src/forwarding/forward.cpp
@@ -2,6 +2,7 @@
 
 #include "src/forwarding/access.hpp"
 #include "src/forwarding/caller_response.hpp"
+#include "src/forwarding/constants.hpp"
 #include "src/forwarding/local_response.hpp"
 #include "src/forwarding/plain_forward.hpp"
 #include "src/forwarding/stream_forward.hpp"
@@ -15,9 +16,6 @@
 /// A daemon without a configuration has just started and reads one within some ten milliseconds.
 constexpr std::chrono::milliseconds startup_retry_after = 200ms;
 
-/// Buffer memory becomes free as requests end.
-constexpr std::chrono::milliseconds memory_retry_after = 500ms;
-
 /// A daemon with an outdated configuration reads or hears the next one within a second.
 constexpr std::chrono::milliseconds outdated_retry_after = 500ms;
 
@@ -38,6 +36,11 @@
                      : now + route.timeout > state.shutdown_deadline;
 }
 
+/// \returns the memory of a request in progress: its body, and the copy that is being sent
+std::size_t memory_of(const backend_request& message) {
+    return 2 * message.body().size();
+}
+
 admission reject(gateway_state& state, const request_id& id, caller_response response,
                  std::string_view reason) {
     state.log.write(logging::weight::notable, "request.refused",
@@ -50,7 +53,7 @@
             metrics::metric_name{"cicadahatch_requests_rejected_" + std::string{reason} + "_total"},
             "Requests rejected before any choice, by reason")
         .add();
-    return {nullptr, std::move(response)};
+    return {nullptr, std::move(response), 0};
 }
 
 admission reject_access(gateway_state& state, const request_id& id, access result) {
@@ -93,7 +96,8 @@
     if (state.table->has_teams()) {
         state.wire.set_team(message, decision.owner ? decision.owner->id : team_id{});
     }
-    if (state.buffered_bytes + message.body().size() > state.options.max_buffered_bytes) {
+    const std::size_t memory = memory_of(message);
+    if (!apply_grant(state, hold(state.memory, memory, state.time.now()))) {
         return reject(state, metadata.id,
                       unavailable_response("out of memory for bodies", memory_retry_after),
                       "memory");
@@ -101,7 +105,7 @@
     auto request = std::make_shared<request_context>(state.loop, state.table, *found, metadata,
                                                      state.time.now(), decision.owner);
     request->message = std::move(message);
-    return {std::move(request), {}};
+    return {std::move(request), {}, memory};
 }
 
 namespace {
--- a/src/forwarding/forward.hpp
+++ b/src/forwarding/forward.hpp
@@ -10,6 +10,7 @@
 struct admission {
     request_context_ptr request; ///< null: rejected
     caller_response rejection;
+    std::size_t memory = 0; ///< held for an admitted request; the receiver releases it
 };
 
 /// \brief Matches a request to its route and admits or rejects it.
--- a/src/forwarding/gateway_state.cpp
+++ b/src/forwarding/gateway_state.cpp
@@ -4,6 +4,44 @@
 
 namespace cicadahatch::forwarding {
 
+namespace {
+
+void end_evicted(gateway_state& state, const std::vector<reading_id>& evicted) {
+    for (const reading_id id : evicted) {
+        const auto handler = state.eviction_handlers.find(id);
+        if (handler != state.eviction_handlers.end()) {
+            const auto end_connection = std::move(handler->second);
+            state.eviction_handlers.erase(handler);
+            end_connection();
+        }
+    }
+    if (evicted.empty()) {
+        return;
+    }
+    state.metric_registry
+        .counter_of(metrics::metric_name{"cicadahatch_readings_evicted_total"},
+                    "Requests ended while they were being read, as memory or connections ran out")
+        .add(evicted.size());
+    state.log.write(logging::weight::notable, "callers.evicted",
+                    {{"readings", evicted.size()},
+                     {"being_read_bytes", state.memory.read},
+                     {"held_bytes", state.memory.held},
+                     {"limit_bytes", state.memory.limit}});
+}
+
+} // namespace
+
+bool apply_grant(gateway_state& state, const memory_grant& grant) {
+    end_evicted(state, grant.evicted);
+    return grant.is_granted;
+}
+
+bool end_stalled_caller(gateway_state& state) {
+    const auto evicted = evict_stalled(state.memory, state.time.now());
+    end_evicted(state, evicted);
+    return !evicted.empty();
+}
+
 scheduling::retry_budget& retry_budget_of(gateway_state& state, const service_id& service) {
     const auto found = state.retry_budgets.find(service);
     if (found != state.retry_budgets.end()) {
--- a/src/forwarding/gateway_state.hpp
+++ b/src/forwarding/gateway_state.hpp
@@ -7,6 +7,7 @@
 #include "src/discovery/configuration_age.hpp"
 #include "src/discovery/directory.hpp"
 #include "src/forwarding/connection_pool.hpp"
+#include "src/forwarding/memory_account.hpp"
 #include "src/forwarding/placement_service.hpp"
 #include "src/forwarding/usage_service.hpp"
 #include "src/forwarding/wire_protocol.hpp"
@@ -17,6 +18,7 @@
 #include "src/scheduling/daemon_count.hpp"
 #include "src/scheduling/retry_budget.hpp"
 
+#include <functional>
 #include <unordered_map>
 
 namespace cicadahatch::forwarding {
@@ -25,8 +27,6 @@
 struct forwarding_options {
     double retry_ratio = 0.1;
     double retry_extra = 10;
-    std::size_t max_buffered_bytes =
-        32UL * 1024 * 1024; ///< total over the bodies of all requests in progress
     balancing::ejection_policy ejection;
     /// Units by which all daemons together may exceed a team's usage cap.
     double usage_slack = 0;
@@ -54,7 +54,9 @@
     std::vector<daemon_id> daemon_ids{}; ///< identifiers of the registered daemons
     std::unordered_map<daemon_id, domain_id> daemon_domains{}; ///< of the registered daemons
     random_source random{0};
-    std::size_t buffered_bytes = 0;
+    memory_account memory{};
+    /// Ends the connections whose requests were evicted while they were being read.
+    std::unordered_map<reading_id, std::function<void()>> eviction_handlers{};
     std::size_t running_requests = 0;
     placement_service* placements = nullptr; ///< outlives the requests
     usage_service* usage = nullptr;          ///< null: usage is not limited; outlives the requests
@@ -64,6 +66,30 @@
     time_point shutdown_deadline{}; ///< while stopping: latest exit time of the process
 };
 
+/// \brief Ends the connections of evicted readings.
+/// \returns whether the memory was granted
+[[nodiscard]] bool apply_grant(gateway_state& state, const memory_grant& grant);
+
+/// \brief Makes room for another connection by ending one whose request has stalled.
+/// \returns whether one was ended
+[[nodiscard]] bool end_stalled_caller(gateway_state& state);
+
+/// \brief Memory held for a request in progress or a response, until the end of the scope, also if
+/// an exception ends it.
+class held_memory {
+public:
+    held_memory(gateway_state& state, std::size_t bytes) : state_(state), bytes_(bytes) {}
+    held_memory(const held_memory&) = delete;
+    held_memory& operator=(const held_memory&) = delete;
+    held_memory(held_memory&&) = delete;
+    held_memory& operator=(held_memory&&) = delete;
+    ~held_memory() { release(state_.memory, bytes_); }
+
+private:
+    gateway_state& state_;
+    std::size_t bytes_;
+};
+
 /// \returns this daemon's share of the retry budget of a service
 [[nodiscard]] scheduling::retry_budget& retry_budget_of(gateway_state& state,
                                                         const service_id& service);
--- a/src/gateway/internal/gateway_daemon_impl.cpp
+++ b/src/gateway/internal/gateway_daemon_impl.cpp
@@ -46,8 +46,9 @@
 /// directly.
 constexpr double silence_share = 0.6;
 
-/// Request bodies may use the memory divided by this. The rest is for connections and code.
-constexpr std::size_t body_memory_divisor = 4;
+/// Requests and responses of callers may use the memory divided by this. The rest is for
+/// connections, code and what the allocator can't reuse.
+constexpr std::size_t caller_memory_divisor = 4;
 
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
@@ -60,7 +61,6 @@
     options.retry_ratio = configured.bounds.retry_ratio;
     options.retry_extra = configured.bounds.retry_extra;
     options.usage_slack = configured.bounds.usage_slack;
-    options.max_buffered_bytes = configured.limits.memory_mb * bytes_per_mb / body_memory_divisor;
     return options;
 }
 
@@ -137,6 +137,7 @@
       signals_(loop_), tick_timer_(loop_), callers_(max_callers(configured_.limits.descriptors)) {
     state_.random = random_source{random_seed(configured_, time_)};
     key_seed_ = stable_hash(unique_token());
+    state_.memory.limit = configured_.limits.memory_mb * bytes_per_mb / caller_memory_divisor;
     state_.placements = &placements_;
     state_.usage = &usage_;
     homes_.add_user(placements_);
@@ -272,7 +273,7 @@
 }
 
 void gateway_daemon::impl::accept_caller(forwarding::tcp::socket socket) {
-    if (!callers_.make_room()) {
+    if (!callers_.make_room() && !forwarding::end_stalled_caller(state_)) {
         // Closing the socket tells the caller that nothing was read, so it may retry elsewhere at
         // once.
         log_.write(weight::notable, "caller.turned_away", {{"callers", callers_.size()}});
@@ -326,8 +327,8 @@
 page gateway_daemon::impl::metrics_page() {
     set_gauge("cicadahatch_ready", "Whether the daemon takes callers", is_ready() ? 1 : 0);
     set_gauge("cicadahatch_requests_running", "Requests in progress", state_.running_requests);
-    set_gauge("cicadahatch_buffered_bytes", "Bodies of requests in progress",
-              state_.buffered_bytes);
+    set_gauge("cicadahatch_buffered_bytes", "Memory held for requests and responses of callers",
+              state_.memory.held + state_.memory.read);
     set_gauge("cicadahatch_idle_connections", "Idle connections to backend servers",
               state_.connections.size());
     set_gauge("cicadahatch_callers", "Connections of callers", callers_.size());
