Servers that are new or have recovered start slowly, if the settings say so

A server that has just started or recovered is flooded or left idle. A plain server begins with an eighth of its share in each daemon and doubles with good answers and time; an engine's home lets two streams start and doubles with each first event. Both halve on bad answers. Off by default (pacing.enabled).

--- a/src/balancing/backend_load.cpp
+++ b/src/balancing/backend_load.cpp
@@ -40,9 +40,20 @@
         return false;
     }
     load.ejected_until = now + policy.period;
+    if (policy.starts_slowly) {
+        begin_slow_start(load.pace, load.ejected_until);
+    }
     return true;
 }
 
+bool record_answer_time(backend_load& load, duration elapsed) {
+    const bool is_usual = load.answer_time == duration::zero() || elapsed <= 2 * load.answer_time;
+    load.answer_time = load.answer_time == duration::zero()
+                           ? elapsed
+                           : load.answer_time + (elapsed - load.answer_time) / average_divisor;
+    return is_usual;
+}
+
 bool extend_backoff(backend_load& load, time_point until) {
     const bool is_extended = until > load.backoff_until;
     load.backoff_until = std::max(load.backoff_until, until);
--- a/src/balancing/backend_load.hpp
+++ b/src/balancing/backend_load.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "src/balancing/request_limit.hpp"
+#include "src/balancing/server_pace.hpp"
 #include "src/core/clock.hpp"
 #include "src/core/identifiers.hpp"
 #include "src/core/table.hpp"
@@ -23,6 +24,8 @@
     time_point full_until;              ///< the engine has just rejected a reservation
     time_point backoff_until;           ///< the server has asked for no requests
     std::optional<request_limit> limit; ///< stated by the server
+    server_pace pace;
+    duration answer_time{0}; ///< moving average of the times to complete answers
 };
 
 using load_table = table<backend_id, backend_load>;
@@ -35,6 +38,7 @@
 struct ejection_policy {
     std::uint32_t failures = 2; ///< consecutive; a single one may be just a lost connection
     duration period = std::chrono::milliseconds{1500};
+    bool starts_slowly = false; ///< whether a server begins slowly after its ejection
 };
 
 /// \brief Resets the failure count and ends an ejection.
@@ -59,6 +63,10 @@
 /// \returns whether this lifted the limit
 bool lift_limit(backend_load& load, time_point sent_at);
 
+/// \brief Records the time of a complete answer.
+/// \returns whether it took no more than twice the usual time
+bool record_answer_time(backend_load& load, duration elapsed);
+
 /// \brief Updates the moving average of the prefill duration.
 void record_prefill(backend_load& load, duration elapsed);
 
--- a/src/balancing/candidate_order.cpp
+++ b/src/balancing/candidate_order.cpp
@@ -10,13 +10,15 @@
 /// Lexicographic sort key of a candidate; lower comes first.
 struct sort_key {
     bool is_ejected = false;
+    bool is_skipped = false; ///< left out of this choice, as it starts slowly
     double load = 0;
     bool is_remote = false; ///< in another failure domain
     double tie_breaker = 0;
 
     friend bool operator<(const sort_key& left, const sort_key& right) {
-        return std::tie(left.is_ejected, left.load, left.is_remote, left.tie_breaker) <
-               std::tie(right.is_ejected, right.load, right.is_remote, right.tie_breaker);
+        return std::tie(left.is_ejected, left.is_skipped, left.load, left.is_remote,
+                        left.tie_breaker) < std::tie(right.is_ejected, right.is_skipped, right.load,
+                                                     right.is_remote, right.tie_breaker);
     }
 };
 
@@ -26,10 +28,12 @@
     std::vector<std::pair<sort_key, const discovery::backend*>> keyed;
     keyed.reserve(candidates.size());
     for (const discovery::backend* candidate : candidates) {
-        const backend_load& load = load_of(context.loads, candidate->id, candidate->started);
+        backend_load& load = load_of(context.loads, candidate->id, candidate->started);
+        advance(load.pace, context.now);
         sort_key key;
         key.is_ejected = load.ejected_until > context.now;
         key.load = load_metric(*candidate, load);
+        key.is_skipped = load.pace.fraction < 1 && !context.random.chance(load.pace.fraction);
         key.is_remote = candidate->domain != context.own_domain;
         key.tie_breaker = context.random.unit();
         keyed.emplace_back(key, candidate);
@@ -48,9 +52,25 @@
 
 candidate_list sort_plain_servers(const candidate_list& candidates,
                                   const selection_context& context) {
-    return sort_by_load(candidates, context, [](const auto& candidate, const auto& load) {
+    const auto utilization = [](const auto& candidate, const auto& load) {
         return static_cast<double>(load.running) / std::max(1U, candidate.slots);
+    };
+    // A server that starts slowly goes before one that is full.
+    const bool has_room = std::any_of(candidates.begin(), candidates.end(), [&](const auto* row) {
+        const backend_load& load = load_of(context.loads, row->id, row->started);
+        return load.pace.fraction >= 1 && utilization(*row, load) < 1;
     });
+    candidate_list sorted = sort_by_load(candidates, context, utilization);
+    if (!has_room) {
+        std::stable_sort(sorted.begin(), sorted.end(), [&](const auto* left, const auto* right) {
+            const auto load_of_row = [&](const auto* row) {
+                const backend_load& load = load_of(context.loads, row->id, row->started);
+                return std::pair{load.ejected_until > context.now, utilization(*row, load)};
+            };
+            return load_of_row(left) < load_of_row(right);
+        });
+    }
+    return sorted;
 }
 
 candidate_list sort_decode_engines(candidate_list candidates, const selection_context& context) {
--- a/src/balancing/candidate_order.hpp
+++ b/src/balancing/candidate_order.hpp
@@ -22,7 +22,8 @@
 /// own failure domain.
 ///
 /// Serves ordinary load and bursts below the service's capacity. Each daemon sees only its own
-/// requests, so remaining ties are broken at random. Ejected servers come last instead of being
+/// requests, so remaining ties are broken at random. A server that starts slowly is first in a part
+/// of the choices only, unless all others are full. Ejected servers come last instead of being
 /// dropped, so that a service whose servers have all failed is still tried.
 [[nodiscard]] candidate_list sort_plain_servers(const candidate_list& candidates,
                                                 const selection_context& context);
--- a/src/forwarding/gateway_state.hpp
+++ b/src/forwarding/gateway_state.hpp
@@ -30,6 +30,7 @@
     balancing::ejection_policy ejection;
     /// Units by which all daemons together may exceed a team's usage cap.
     double usage_slack = 0;
+    bool paces_servers = false; ///< servers that are new or have recovered start slowly
 };
 
 /// \brief State shared by all requests of a daemon. Accessed by the event loop's thread only.
--- a/src/forwarding/plain_forward.cpp
+++ b/src/forwarding/plain_forward.cpp
@@ -60,6 +60,20 @@
     return has_attempts && scheduling::take_retry(retry_budget_of(state, attempts.service));
 }
 
+/// Updates the slow start of a server by its answer.
+void record_pace(const gateway_state& state, balancing::backend_load& load,
+                 const full_response& response, duration elapsed) {
+    if (response.error == errc::cancelled) {
+        return;
+    }
+    const bool is_refused = response.error || response.metadata.is_not_executed;
+    if (!is_refused && balancing::record_answer_time(load, elapsed)) {
+        balancing::record_good_answer(load.pace, state.time.now());
+    } else {
+        balancing::record_bad_answer(load.pace, state.time.now());
+    }
+}
+
 asio::awaitable<full_response> send_to_server(gateway_state& state, request_context_ptr request,
                                               plain_attempts& attempts, discovery::backend target) {
     attempts.tried.push_back(target.id);
@@ -69,6 +83,7 @@
     options.priority =
         request->table().priority_level(request->route(), attempts.service, request->owner());
     ++balancing::load_of(state.loads, target.id, target.started).running;
+    const time_point sent_at = state.time.now();
     full_response response =
         co_await send_request(state, request, target,
                               make_backend_request(state, *request, options), request->deadline());
@@ -87,6 +102,7 @@
                      {"status", response.status},
                      {"not_run", response.metadata.is_not_executed},
                      {"error", response.error ? response.error.message() : std::string{}}});
+    record_pace(state, load, response, state.time.now() - sent_at);
     if (!response.error) {
         balancing::record_success(load);
     } else if (response.error != errc::cancelled &&
--- a/src/gateway/cell_configuration.cpp
+++ b/src/gateway/cell_configuration.cpp
@@ -24,12 +24,17 @@
 constexpr double late_request_floor = 0.05;
 constexpr double level_floor = 0.05;
 
+/// Streams that may be starting at an engine that is new or has recovered: one that is read in, and
+/// one that waits for it.
+constexpr std::uint32_t initial_engine_starts = 2;
+
 scheduling::engine_spec to_engine_spec(const discovery::backend& engine,
-                                       const routing::engine_traits& traits) {
+                                       const routing::engine_traits& traits, bool starts_slowly) {
     scheduling::engine_spec spec;
     spec.id = engine.id;
     spec.role = engine.role;
     spec.started = engine.started;
+    spec.initial_starts = starts_slowly ? initial_engine_starts : 0;
     spec.slots = engine.slots;
     spec.pieces = traits.kv_tokens / block_tokens;
     spec.piece_tokens = block_tokens;
@@ -55,7 +60,7 @@
         return topology;
     }
     for (const discovery::backend* engine : state.backends.available_backends(id)) {
-        topology.engines.push_back(to_engine_spec(*engine, *traits));
+        topology.engines.push_back(to_engine_spec(*engine, *traits, state.options.paces_servers));
     }
     scheduling::service_spec service;
     service.id = id;
--- a/src/gateway/internal/gateway_daemon_impl.cpp
+++ b/src/gateway/internal/gateway_daemon_impl.cpp
@@ -60,6 +60,8 @@
     forwarding::forwarding_options options;
     options.retry_ratio = configured.bounds.retry_ratio;
     options.retry_extra = configured.bounds.retry_extra;
+    options.paces_servers = configured.pacing.enabled;
+    options.ejection.starts_slowly = configured.pacing.enabled;
     options.usage_slack = configured.bounds.usage_slack;
     return options;
 }
@@ -578,6 +580,7 @@
         if (known == nullptr || known->is_draining) {
             state_.connections.close_all(change.backend);
         }
+        begin_slow_start(change);
         log_.write(weight::notable, "backend.changed",
                    {{"backend", change.backend.str()},
                     {"change", discovery::to_string(change.kind)},
@@ -586,6 +589,19 @@
     }
 }
 
+/// Servers that this daemon finds at its start have served others before.
+void gateway_daemon::impl::begin_slow_start(const discovery::directory_change& change) {
+    using change_kind = discovery::directory_change::change_kind;
+    const bool is_new = change.kind == change_kind::added || change.kind == change_kind::restarted;
+    const discovery::backend* known = state_.backends.find(change.backend);
+    if (!state_.options.paces_servers || !is_new || !was_ready_ || known == nullptr) {
+        return;
+    }
+    auto& load = balancing::load_of(state_.loads, known->id, known->started);
+    balancing::begin_slow_start(load.pace, time_.now());
+    log_.write(weight::notable, "backend.starts_slowly", {{"backend", known->id.str()}});
+}
+
 void gateway_daemon::impl::on_store_state(const discovery::store_status& state) {
     log_.write(weight::notable, state.is_reachable ? "store.reached" : "store.lost",
                {{"error", state.error ? state.error.message() : std::string{}}});
--- a/src/gateway/internal/gateway_daemon_impl.hpp
+++ b/src/gateway/internal/gateway_daemon_impl.hpp
@@ -64,6 +64,7 @@
     void log_configuration_age();
     void on_backends(const discovery::registry_update& update);
     void handle_backend_changes(const std::vector<discovery::directory_change>& changes);
+    void begin_slow_start(const discovery::directory_change& change);
     void on_store_state(const discovery::store_status& state);
 
     settings::gateway_settings configured_;
--- a/src/scheduling/cell_inputs.cpp
+++ b/src/scheduling/cell_inputs.cpp
@@ -2,6 +2,7 @@
 
 #include "src/scheduling/internal/cache_view.hpp"
 #include "src/scheduling/internal/engine_health.hpp"
+#include "src/scheduling/internal/engine_pace.hpp"
 #include "src/scheduling/internal/fair_queue.hpp"
 #include "src/scheduling/internal/learn.hpp"
 #include "src/scheduling/internal/memory_forecast.hpp"
@@ -125,6 +126,7 @@
     known = engine{};
     known.id = id;
     known.spec = spec;
+    internal::begin_slow_start(known);
 }
 
 } // namespace
@@ -141,6 +143,8 @@
 
 void set_engines(cell_state& state, const std::vector<engine_spec>& engines, time_point now) {
     std::set<backend_id> listed;
+    // The engines that a new cell finds are proven.
+    const bool is_new_cell = state.engines.empty();
     for (const engine_spec& spec : engines) {
         listed.insert(spec.id);
         engine* known = state.engines.find(spec.id);
@@ -148,6 +152,9 @@
             engine added;
             added.id = spec.id;
             added.spec = spec;
+            if (!is_new_cell) {
+                internal::begin_slow_start(added);
+            }
             state.engines.insert(std::move(added));
         } else if (known->spec.started != spec.started) {
             free_grants_of(state, spec.id, now);
@@ -261,6 +268,9 @@
         return;
     }
     held->last_heartbeat = now;
+    if (engine* decode = state.engines.find(held->issued.decode)) {
+        internal::record_first_token(*decode);
+    }
     internal::begin_decode(state, *held, now);
 }
 
--- a/src/scheduling/engine.hpp
+++ b/src/scheduling/engine.hpp
@@ -29,6 +29,8 @@
     duration step_base{0};                ///< fixed time of a decode step
     duration step_per_stream{0};          ///< added to a decode step for each stream
     std::uint32_t kv_bytes_per_token = 0; ///< transferred bytes for each prompt token
+    /// Streams that may be starting at an engine that is new or has recovered; zero: any number.
+    std::uint32_t initial_starts = 0;
 };
 
 /// \brief A link and its rate.
@@ -122,6 +124,7 @@
     std::uint32_t failures_in_row = 0;
     std::uint32_t ejections_in_row = 0;
     time_point ejected_until;
+    std::uint32_t max_starts = 0; ///< streams without a first token; zero: any number
 
     // Cache view.
     bool has_cache_view = true;
--- a/src/scheduling/internal/available_engines.cpp
+++ b/src/scheduling/internal/available_engines.cpp
@@ -1,6 +1,7 @@
 #include "src/scheduling/internal/available_engines.hpp"
 
 #include "src/scheduling/internal/engine_health.hpp"
+#include "src/scheduling/internal/engine_pace.hpp"
 #include "src/scheduling/internal/prediction.hpp"
 
 #include <algorithm>
@@ -19,7 +20,8 @@
 }
 
 bool has_free_slot(const engine& instance) noexcept {
-    return takes_work(instance) && used_slots(instance) < instance.spec.slots;
+    return takes_work(instance) && may_start_stream(instance) &&
+           used_slots(instance) < instance.spec.slots;
 }
 
 /// An engine runs one prefill and queues at most one more.
--- a/src/scheduling/internal/engine_health.cpp
+++ b/src/scheduling/internal/engine_health.cpp
@@ -1,5 +1,7 @@
 #include "src/scheduling/internal/engine_health.hpp"
 
+#include "src/scheduling/internal/engine_pace.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -131,6 +133,7 @@
         return;
     }
     ++instance->failures_in_row;
+    record_failed_start(*instance);
     const bool has_failed_probe = instance->health == health::probing;
     if (has_failed_probe || (instance->failures_in_row >= policy.ejection_failures &&
                              may_eject(state, policy, instance->spec.role))) {
@@ -162,6 +165,7 @@
     if (instance->health == health::probing) {
         instance->health = health::healthy;
         instance->ejections_in_row = 0;
+        begin_slow_start(*instance);
     }
 }
 
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -41,6 +41,11 @@
     std::uint32_t usage_slack = 0;
 };
 
+/// \brief Slow start of servers that are new or have recovered.
+struct slow_start {
+    bool enabled = false;
+};
+
 /// \brief Settings of a daemon that serves the backend servers registered in the store.
 struct gateway_settings {
     daemon_id name;
@@ -53,6 +58,7 @@
     store_access store;
     process_limits limits;
     installation_bounds bounds;
+    slow_start pacing;
 };
 
 /// \brief Parses and checks a gateway's settings file.
--- a/src/settings/internal/gateway_fields.cpp
+++ b/src/settings/internal/gateway_fields.cpp
@@ -69,6 +69,13 @@
     };
 }
 
+field_table<slow_start> pacing_fields() {
+    return {
+        make_field("enabled", &slow_start::enabled, boolean(),
+                   "whether backend servers that are new or have recovered start slowly"),
+    };
+}
+
 field_table<gateway_settings> make_fields() {
     return {
         make_field("name", &gateway_settings::name, name<daemon_id>(),
@@ -90,6 +97,7 @@
                    "the key-value service", presence::required),
         make_field("limits", &gateway_settings::limits, object(limit_fields()), ""),
         make_field("bounds", &gateway_settings::bounds, object(bound_fields()), ""),
+        make_field("pacing", &gateway_settings::pacing, object(pacing_fields()), ""),
     };
 }
 
