--- a/test/gateway/registry_subscriber_test.cpp
+++ b/test/gateway/registry_subscriber_test.cpp
@@ -21,6 +21,7 @@
 /// Four daemons of one failure domain and one of another, in this process.
 struct registry_subscriber_fixture {
     system_clock time;
+    manual_clock publisher_time; ///< unrelated to the subscriber's clock
     asio::io_context loop{1};
     std::string written;
     logging::event_log log{time, "self", {}, [this](std::string_view line) {
@@ -56,7 +57,7 @@
         const http::endpoint place{"127.0.0.1", probe.local_endpoint().port()};
         probe.close();
         auto& made = publishers[daemon_id{name}];
-        made = std::make_unique<gateway::registry_publisher>(loop, time);
+        made = std::make_unique<gateway::registry_publisher>(loop, time, publisher_time);
         REQUIRE(made->open(place));
         daemons.push_back({daemon_id{name}, place, domain_id{domain}, place});
     }
@@ -85,6 +86,7 @@
         discovery::store_delta made;
         made.after = revision{revisions};
         made.through = revision{++revisions};
+        made.complete_as_of = publisher_time.now() - 500ms;
         return made;
     }
     [[nodiscard]] bool has_sources(const std::vector<daemon_id>& expected) const {
@@ -160,3 +162,19 @@
     CHECK(received.front().after == large.through);
     CHECK(received.front().changes.empty());
 }
+
+TEST_CASE_FIXTURE(registry_subscriber_fixture,
+                  "subscriber that measures ages, dates deltas by its own clock, never too late") {
+    subscribe_as(order[1]);
+    subscriber->measure_age(time);
+    REQUIRE(run_until(
+        [this] { return !received.empty() && received.back().complete_as_of.has_value(); }));
+    CHECK_FALSE(received.front().complete_as_of);
+    CHECK(*received.back().complete_as_of <= time.now() - 500ms);
+}
+
+TEST_CASE_FIXTURE(registry_subscriber_fixture, "subscriber that measures no ages, dates no delta") {
+    subscribe_as(order[1]);
+    REQUIRE(run_until([this] { return received.size() > 4; }));
+    CHECK_FALSE(received.back().complete_as_of);
+}
