--- a/src/forwarding/memory_account.cpp
+++ b/src/forwarding/memory_account.cpp
@@ -42,10 +42,9 @@
         }
         return left_stalled ? left.bytes > right.bytes : left.id.value() > right.id.value();
     });
-    std::vector<reading_id> order;
-    for (const reading& row : rows) {
-        order.push_back(row.id);
-    }
+    std::vector<reading_id> order(rows.size());
+    std::transform(rows.begin(), rows.end(), order.begin(),
+                   [](const reading& row) { return row.id; });
     return order;
 }
 
