--- a/test/routing/key_index_test.cpp
+++ b/test/routing/key_index_test.cpp
@@ -45,6 +45,7 @@
     std::vector<team> teams;
     for (int row = 0; row < 16; ++row) {
         std::vector<std::string> keys;
+        keys.reserve(500);
         for (int key = 0; key < 500; ++key) {
             keys.push_back("key-" + std::to_string(row) + "-" + std::to_string(key));
         }
