Balancing: one moving average; ledger: comments say what its bucket does

Read-through: record_answer_time repeated the average of record_prefill, and two comments of the ledger were left from the sliding window and joined by the formatter. Behaviour stays.

--- a/src/balancing/backend_load.cpp
+++ b/src/balancing/backend_load.cpp
@@ -10,6 +10,12 @@
 /// about eight prefills, which is under a second at an engine's full rate.
 constexpr int average_divisor = 8;
 
+/// Adds an observation to a moving average; zero: there is none yet.
+void update_average(duration& average, duration elapsed) {
+    average =
+        average == duration::zero() ? elapsed : average + (elapsed - average) / average_divisor;
+}
+
 } // namespace
 
 backend_load& load_of(load_table& loads, const backend_id& id, incarnation started) {
@@ -48,9 +54,7 @@
 
 bool record_answer_time(backend_load& load, duration elapsed) {
     const bool is_usual = load.answer_time == duration::zero() || elapsed <= 2 * load.answer_time;
-    load.answer_time = load.answer_time == duration::zero()
-                           ? elapsed
-                           : load.answer_time + (elapsed - load.answer_time) / average_divisor;
+    update_average(load.answer_time, elapsed);
     return is_usual;
 }
 
@@ -80,11 +84,7 @@
 }
 
 void record_prefill(backend_load& load, duration elapsed) {
-    if (load.prefill_time == duration::zero()) {
-        load.prefill_time = elapsed;
-        return;
-    }
-    load.prefill_time += (elapsed - load.prefill_time) / average_divisor;
+    update_average(load.prefill_time, elapsed);
 }
 
 } // namespace cicadahatch::balancing
--- a/src/usage/ledger.hpp
+++ b/src/usage/ledger.hpp
@@ -41,8 +41,8 @@
     duration retry_after{0};
 };
 
-/// \brief Replaces the caps. Accounts of teams that stay keep their usage; under a lower cap, the
-/// part of the cap that was used.
+/// \brief Replaces the caps. Accounts of teams that stay keep their balance, up to the new
+/// capacity.
 void set_caps(ledger& book, const std::vector<routing::team>& teams, time_point now);
 
 /// \brief Changes the part of the caps that this ledger grants. Another ledger may have granted an
@@ -60,8 +60,9 @@
 
 /// \returns the part of the caps that a home may grant. A failure domain counts whole if any of its
 /// daemons is heard: domains are partitioned as a whole, and daemons that have ended don't use
-/// their part. \param registered daemons of all homes, by domain \param heard domains of the
-/// daemons that rely on the home
+/// their part.
+/// \param registered daemons of all homes, by domain
+/// \param heard domains of the daemons that rely on the home
 [[nodiscard]] double share_of(const std::map<domain_id, std::size_t>& registered,
                               const std::set<domain_id>& heard);
 
