--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/../.."
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout -k 2 100 target/review-2/stopped_while_waiting target/programs/cicadahatchd "$folder" review/6/record.txt
+timeout -k 2 100 target/review-2/silent_engine target/programs/cicadahatchd "$folder" review/6/record.txt
 outcome=$?
 [ "$outcome" -le 1 ] || outcome=2
 exit "$outcome"
--- a/review/standins-2/engine.cpp
+++ b/review/standins-2/engine.cpp
@@ -96,6 +96,30 @@
     return is_sent;
 }
 
+void memory_shortage::meet(const std::string& request, unsigned long event) {
+    if (request != victim_ || event != event_) {
+        return;
+    }
+    {
+        const std::lock_guard lock{mutex_};
+        if (ends_at_ != time_point{}) {
+            return;
+        }
+        ends_at_ = steady_clock::now() + length_;
+    }
+    std::this_thread::sleep_for(length_);
+}
+
+bool memory_shortage::is_on() const {
+    const std::lock_guard lock{mutex_};
+    return steady_clock::now() < ends_at_;
+}
+
+bool memory_shortage::has_begun() const {
+    const std::lock_guard lock{mutex_};
+    return ends_at_ != time_point{};
+}
+
 model_engine::model_engine(run_book& book, std::string id, std::string stage, std::size_t slots)
     : book_(book), id_(std::move(id)), stage_(std::move(stage)), slots_(slots),
       listener_([this](tcp::socket& socket, const any_request& asked) {
@@ -151,7 +175,8 @@
     const std::lock_guard lock{mutex_};
     const time_point now = steady_clock::now();
     std::erase_if(holds_, [now](const auto& row) { return row.second <= now; });
-    if (running_ + holds_.size() >= slots_) {
+    const bool is_short = shortage_ != nullptr && shortage_->is_on();
+    if (is_short || running_ + holds_.size() >= slots_) {
         return send_answer(socket, status_unavailable, echo, "{}");
     }
     const std::string name = next_name("h");
@@ -194,6 +219,9 @@
     for (unsigned long event = first; is_open && event <= tokens / tokens_per_event; ++event) {
         std::this_thread::sleep_for(event_gap);
         is_open = send_event(socket, event);
+        if (is_open && shortage_ != nullptr) {
+            shortage_->meet(request, event);
+        }
     }
     is_open = is_open && send_bytes(socket, "0\r\n\r\n");
     {
--- a/review/standins-2/engine.hpp
+++ b/review/standins-2/engine.hpp
@@ -52,12 +52,35 @@
     listener listener_; ///< last, as its threads use the rest
 };
 
+/// \brief A time in which the memory of the decode engines is short: they take no reservations, and
+/// the stream of one request, the newest, is preempted and goes on when the time is over.
+class memory_shortage {
+public:
+    /// \param victim the request that is preempted behind its event of this number
+    memory_shortage(std::string victim, unsigned long event, std::chrono::milliseconds length)
+        : victim_(std::move(victim)), event_(event), length_(length) {}
+
+    /// \brief Begins and waits it out if this is the victim's event. Begins once.
+    void meet(const std::string& request, unsigned long event);
+    [[nodiscard]] bool is_on() const;
+    [[nodiscard]] bool has_begun() const;
+
+private:
+    std::string victim_;
+    unsigned long event_;
+    std::chrono::milliseconds length_;
+    mutable std::mutex mutex_;
+    time_point ends_at_; ///< the epoch before it has begun
+};
+
 /// \brief A model engine. A stream has as many events as its request states output tokens, one for
 /// each 61.
 class model_engine {
 public:
     model_engine(run_book& book, std::string id, std::string stage, std::size_t slots);
 
+    /// \param shortage outlives this object
+    void set_shortage(memory_shortage& shortage) { shortage_ = &shortage; }
     void enter(store& platform) const;
 
 private:
@@ -74,6 +97,7 @@
     std::string id_;
     std::string stage_;
     std::size_t slots_ = 0;
+    memory_shortage* shortage_ = nullptr; ///< null: there is none
     std::mutex mutex_;
     std::size_t running_ = 0;
     std::uint64_t last_name_ = 0;
--- a/review/standins-2/http.cpp
+++ b/review/standins-2/http.cpp
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 #include <optional>
 #include <poll.h>
+#include <random>
 #include <strings.h>
 #include <sys/socket.h>
 #include <thread>
@@ -136,10 +137,21 @@
 }
 
 unsigned short free_port() {
-    boost::asio::io_context loop;
-    const tcp::acceptor acceptor{loop,
-                                 tcp::endpoint{boost::asio::ip::make_address("127.0.0.1"), 0}};
-    return acceptor.local_endpoint().port();
+    // Below the range that the system takes for the ends of connections, so that the port stays
+    // free until the router listens.
+    constexpr unsigned first = 15'000;
+    constexpr unsigned count = 15'000;
+    static std::mt19937 random{std::random_device{}()};
+    while (true) {
+        boost::asio::io_context loop;
+        tcp::acceptor acceptor{loop, tcp::v4()};
+        const auto port = static_cast<unsigned short>(first + random() % count);
+        error_code error;
+        acceptor.bind({boost::asio::ip::make_address("127.0.0.1"), port}, error);
+        if (!error) {
+            return port;
+        }
+    }
 }
 
 std::string value_in_head(const std::string& head, const std::string& name) {
--- a/review/standins-2/interim_answers.cpp
+++ b/review/standins-2/interim_answers.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief Case 7: an engine sends an interim answer before its answer.
+/// \brief Case 8: an engine sends an interim answer before its answer.
 
 #include "review/standins-2/deployment.hpp"
 
--- a/review/standins-2/stopped_while_waiting.cpp
+++ b/review/standins-2/stopped_while_waiting.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief Case 6: a machine is stopped while requests that it has read wait for a place.
+/// \brief Case 7: a machine is stopped while requests that it has read wait for a place.
 
 #include "review/standins-2/deployment.hpp"
 
