--- a/review/standins-2/router.cpp
+++ b/review/standins-2/router.cpp
@@ -75,10 +75,19 @@
         {"bounds", bounds()}};
     const std::string file = folder_ + "/" + name_ + ".json";
     std::ofstream{file} << settings.dump();
+    // The pipe ends as the program takes the place of this one's copy.
+    std::array<int, 2> ends{};
+    const bool has_pipe = pipe2(ends.data(), O_CLOEXEC) == 0;
     id_ = fork();
     if (id_ == 0) {
         become(program_, file, folder_ + "/" + name_ + ".log");
     }
+    if (has_pipe) {
+        char nothing = 0;
+        close(ends[1]);
+        static_cast<void>(read(ends[0], &nothing, 1) + 1);
+        close(ends[0]);
+    }
 }
 
 void router::send_signal(int number) const {
@@ -97,6 +106,13 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : signal_status + WTERMSIG(status);
 }
 
+bool router::has_ended() const {
+    siginfo_t found{};
+    return id_ > 0 &&
+           waitid(P_PID, static_cast<id_t>(id_), &found, WEXITED | WNOHANG | WNOWAIT) == 0 &&
+           found.si_pid == id_;
+}
+
 bool router::is_ready() const {
     return get_status(ready_, "/cicadahatch/readiness") == status_ok;
 }
--- a/review/standins-2/router.hpp
+++ b/review/standins-2/router.hpp
@@ -19,6 +19,7 @@
     router& operator=(router&&) = delete;
     ~router();
 
+    /// \brief Starts the program and waits until it has taken over.
     void start(const store& platform);
     void send_signal(int number) const;
     /// \brief Kills the process if it still runs.
@@ -26,6 +27,8 @@
     /// \brief Waits for the end of the process.
     /// \returns its exit status, or the signal + 128
     int wait();
+    /// \returns whether the process has ended and wait() returns at once
+    [[nodiscard]] bool has_ended() const;
     /// \returns whether it takes new channels, as the platform asks it
     [[nodiscard]] bool is_ready() const;
     [[nodiscard]] unsigned short front() const noexcept { return front_; }
