--- a/review/standins-2/early_signal.cpp
+++ b/review/standins-2/early_signal.cpp
@@ -15,7 +15,7 @@
 
 constexpr auto start_limit = 20s;
 /// From the start of the program to the signal.
-constexpr auto signal_delay = 2ms;
+constexpr auto signal_delay = 1ms;
 constexpr auto restart_delay = 200ms;
 /// FAULT: on two machines at least, processes end by themselves three times in the day.
 constexpr int rounds = 3;
