--- a/src/forwarding/caller_connection.cpp
+++ b/src/forwarding/caller_connection.cpp
@@ -114,6 +114,13 @@
     return is_aborted_;
 }
 
+void caller_connection::end_unanswered(request_end_reason reason) {
+    const auto request = running_.lock();
+    if (request != nullptr && request->first_part_at() == time_point{}) {
+        request->end(reason);
+    }
+}
+
 asio::awaitable<bool> caller_connection::wait_for_request() {
     if (buffer_.size() > 0) {
         co_return true;
@@ -286,9 +293,11 @@
 }
 
 asio::awaitable<void> caller_connection::run_request(request_context_ptr request) {
+    running_ = request;
     request->start_timer();
     watch_for_disconnect(request);
     co_await forward(state_, request, *this);
+    running_.reset();
     ++watch_generation_;
     request->stop_timer();
     net_error ignored; // Only the disconnect watch is pending.
--- a/src/forwarding/caller_connection.hpp
+++ b/src/forwarding/caller_connection.hpp
@@ -40,6 +40,9 @@
     /// \brief Closes the connection unless a request is in progress or has begun to arrive.
     /// \returns whether the connection is closed
     bool close_if_idle();
+    /// \brief Ends the current request if its response has not begun, so that it gets a final one
+    /// from this daemon.
+    void end_unanswered(request_end_reason reason);
     /// \returns whether a complete response to the current request has been sent
     [[nodiscard]] bool is_response_sent() const noexcept { return is_response_sent_; }
 
@@ -75,9 +78,10 @@
     gateway_state& state_;
     tcp::socket socket_;
     asio::steady_timer timeout_timer_;
-    boost::beast::flat_buffer buffer_; ///< bounded before each request is read
-    reading_id reading_;               ///< the request that is being read
-    bool is_evicted_ = false;          ///< its memory or connection was needed for others
+    boost::beast::flat_buffer buffer_;       ///< bounded before each request is read
+    reading_id reading_;                     ///< the request that is being read
+    std::weak_ptr<request_context> running_; ///< the request that is being forwarded
+    bool is_evicted_ = false;                ///< its memory or connection was needed for others
     bool is_keep_alive_ = true;
     bool has_expired_ = false;
     bool is_idle_ = true;
--- a/src/forwarding/caller_response.cpp
+++ b/src/forwarding/caller_response.cpp
@@ -1,5 +1,6 @@
 #include "src/forwarding/caller_response.hpp"
 
+#include "src/forwarding/constants.hpp"
 #include "src/forwarding/header_fields.hpp"
 
 namespace cicadahatch::forwarding {
@@ -62,10 +63,13 @@
 caller_response make_failure_response(const gateway_state& state, const request_context& request,
                                       execution_state execution,
                                       std::chrono::milliseconds retry_after) {
-    const bool is_unauthorized = execution == execution_state::not_executed &&
-                                 request.end_reason() == request_end_reason::access_withdrawn;
-    return is_unauthorized ? unauthorized_response(state.wire.authentication_scheme)
-                           : failure_response(execution, request.end_reason(), retry_after);
+    const request_end_reason reason = request.end_reason();
+    if (execution == execution_state::not_executed &&
+        reason == request_end_reason::access_withdrawn) {
+        return unauthorized_response(state.wire.authentication_scheme);
+    }
+    const bool is_stopping = reason == request_end_reason::stopping;
+    return failure_response(execution, reason, is_stopping ? shutdown_retry_after : retry_after);
 }
 
 void record_request_end(gateway_state& state, const request_context& request, unsigned status,
--- a/src/forwarding/constants.hpp
+++ b/src/forwarding/constants.hpp
@@ -16,6 +16,18 @@
 /// Largest response that is buffered until it is complete.
 inline constexpr std::size_t max_full_response_bytes = 4UL * 1024 * 1024;
 
+/// Duration of an ordinary stream from its first event to its last. An order of magnitude: streams
+/// differ by a factor of about two.
+inline constexpr std::chrono::milliseconds ordinary_stream_duration{2'000};
+
+/// Time until the load balancer stops using a daemon that is shutting down: it probes once a second
+/// and removes a daemon after two failed probes. Idle callers stay connected until then.
+inline constexpr std::chrono::milliseconds balancer_detection_time{2'500};
+
+/// Retry-After of a request that a daemon rejects because it is shutting down. Another daemon can
+/// be reached at once.
+inline constexpr std::chrono::milliseconds shutdown_retry_after{10};
+
 /// Retry-After of a request that was refused for memory, which becomes free as requests end.
 inline constexpr std::chrono::milliseconds memory_retry_after{500};
 
--- a/src/forwarding/forward.cpp
+++ b/src/forwarding/forward.cpp
@@ -22,18 +22,15 @@
 /// A lost home of the usage accounts is replaced within this time.
 constexpr std::chrono::milliseconds usage_retry_after = 300ms;
 
-/// A caller rejected by a stopping daemon can reach another daemon at once.
-constexpr std::chrono::milliseconds stopping_retry_after = 10ms;
-
 /// Whether a stopping daemon could not complete the request before it exits.
-bool misses_shutdown_deadline(const gateway_state& state, const routing::route& route) {
+bool misses_shutdown(const gateway_state& state, const routing::route& route) {
     if (!state.is_stopping) {
         return false;
     }
     const time_point now = state.time.now();
     const bool is_stream = route.kind == routing::request_kind::streaming;
-    return is_stream ? now > state.last_stream_start
-                     : now + route.timeout > state.shutdown_deadline;
+    return is_stream ? now > state.shutdown.last_stream_admission
+                     : now + route.timeout > state.shutdown.last_response;
 }
 
 /// \returns the memory of a request in progress: its body, and the copy that is being sent
@@ -85,8 +82,8 @@
             local_response(static_cast<unsigned>(beast_http::status::not_found), "no such route"),
             "no_route");
     }
-    if (misses_shutdown_deadline(state, *found)) {
-        return reject(state, metadata.id, unavailable_response("stopping", stopping_retry_after),
+    if (misses_shutdown(state, *found)) {
+        return reject(state, metadata.id, unavailable_response("stopping", shutdown_retry_after),
                       "stopping");
     }
     const access_decision decision = check_access(state, *found, metadata);
--- a/src/forwarding/gateway_state.hpp
+++ b/src/forwarding/gateway_state.hpp
@@ -9,6 +9,7 @@
 #include "src/forwarding/connection_pool.hpp"
 #include "src/forwarding/memory_account.hpp"
 #include "src/forwarding/placement_service.hpp"
+#include "src/forwarding/shutdown_schedule.hpp"
 #include "src/forwarding/usage_service.hpp"
 #include "src/forwarding/wire_protocol.hpp"
 #include "src/logging/event_log.hpp"
@@ -62,9 +63,7 @@
     placement_service* placements = nullptr; ///< outlives the requests
     usage_service* usage = nullptr;          ///< null: usage is not limited; outlives the requests
     bool is_stopping = false;
-    time_point last_stream_start{}; ///< while stopping: streams started later could not end before
-                                    ///< shutdown_deadline
-    time_point shutdown_deadline{}; ///< while stopping: latest exit time of the process
+    shutdown_schedule shutdown{}; ///< valid while is_stopping
 };
 
 /// \brief Ends the connections of evicted readings.
--- a/src/forwarding/request_context.cpp
+++ b/src/forwarding/request_context.cpp
@@ -14,6 +14,8 @@
         return "time_over";
     case request_end_reason::access_withdrawn:
         return "access_withdrawn";
+    case request_end_reason::stopping:
+        return "stopping";
     }
     return "unknown";
 }
--- a/src/forwarding/request_context.hpp
+++ b/src/forwarding/request_context.hpp
@@ -15,10 +15,11 @@
 
 /// \brief Why a request has ended before its response was complete.
 enum class request_end_reason : std::uint8_t {
-    none,            ///< in progress, or ended with a response
-    caller_left,     ///< the caller has disconnected
-    time_over,       ///< the caller's or the route's timeout has passed
-    access_withdrawn ///< a newer configuration has withdrawn the caller's key
+    none,             ///< in progress, or ended with a response
+    caller_left,      ///< the caller has disconnected
+    time_over,        ///< the caller's or the route's timeout has passed
+    access_withdrawn, ///< a newer configuration has withdrawn the caller's key
+    stopping          ///< the daemon is about to exit
 };
 
 [[nodiscard]] const char* to_string(request_end_reason reason) noexcept;
--- a/src/forwarding/stream_forward.cpp
+++ b/src/forwarding/stream_forward.cpp
@@ -1,6 +1,7 @@
 #include "src/forwarding/stream_forward.hpp"
 
 #include "src/forwarding/caller_response.hpp"
+#include "src/forwarding/constants.hpp"
 #include "src/forwarding/engine_probe.hpp"
 #include "src/forwarding/stream_state.hpp"
 
@@ -12,9 +13,8 @@
 
 using namespace std::chrono_literals;
 
-/// Retry-After if the home has sent none: half the duration of an ordinary stream, after which
-/// capacity is likely to be free.
-constexpr std::chrono::milliseconds default_retry_after = 1s;
+/// Retry-After if the home has sent none: capacity is likely to be free after this time.
+constexpr std::chrono::milliseconds default_retry_after = ordinary_stream_duration / 2;
 
 /// A caller abandons a stream after two seconds without an event, four times the objective or eight
 /// times the gap objective, whichever is longest.
@@ -200,6 +200,7 @@
 /// rest must only arrive before the caller abandons the stream. It is queued behind streams that
 /// can still meet their objective.
 void set_resumed_targets(stream_state& stream, const request_context& request, time_point now) {
+    stream.placement.has_response_begun = true;
     stream.placement.target = max_useful_wait(request.route());
     stream.placement.target_start = now;
     stream.placement.is_late = true;
--- a/src/gateway/caller_table.cpp
+++ b/src/gateway/caller_table.cpp
@@ -48,6 +48,14 @@
     }
 }
 
+void caller_table::end_unanswered(forwarding::request_end_reason reason) {
+    for (const auto& connection : connections_) {
+        if (const auto caller = connection.lock()) {
+            caller->end_unanswered(reason);
+        }
+    }
+}
+
 void caller_table::remove_closed() {
     std::erase_if(connections_, [](const auto& connection) { return connection.expired(); });
 }
--- a/src/gateway/caller_table.hpp
+++ b/src/gateway/caller_table.hpp
@@ -24,6 +24,8 @@
 
     void add(const forwarding::caller_ptr& connection) { connections_.push_back(connection); }
     void close_idle();
+    /// \brief Ends the requests whose responses have not begun.
+    void end_unanswered(forwarding::request_end_reason reason);
 
     /// \brief Removes closed connections.
     void remove_closed();
--- a/src/gateway/internal/gateway_daemon_impl.cpp
+++ b/src/gateway/internal/gateway_daemon_impl.cpp
@@ -2,6 +2,7 @@
 
 #include "src/core/hash.hpp"
 #include "src/core/random.hpp"
+#include "src/forwarding/constants.hpp"
 #include "src/gateway/cell_configuration.hpp"
 #include "src/gateway/constants.hpp"
 #include "src/metrics/exposition.hpp"
@@ -25,13 +26,6 @@
 /// that were not renewed.
 constexpr std::chrono::milliseconds tick_interval = 100ms;
 
-/// Time until the load balancer stops using this daemon after SIGTERM: it probes once a second and
-/// removes a daemon after two failed probes. Idle callers stay connected until then.
-constexpr std::chrono::milliseconds balancer_detection_time = 2500ms;
-
-/// Share of the shutdown time reserved for the exit of the process.
-constexpr std::chrono::milliseconds shutdown_margin = 400ms;
-
 /// The circuit to the store opens only briefly: configuration must take effect within seconds.
 constexpr store::circuit_limits store_circuit{4, 200ms, 1s};
 
@@ -421,11 +415,11 @@
 void gateway_daemon::impl::start_shutdown() {
     state_.is_stopping = true;
     stopping_since_ = time_.now();
-    state_.last_stream_start = stopping_since_ + balancer_detection_time;
-    state_.shutdown_deadline = stopping_since_ + configured_.bounds.shutdown - shutdown_margin;
+    state_.shutdown = forwarding::plan_shutdown(stopping_since_, configured_.bounds.shutdown);
     follower_->stop();
     publisher_.close();
     home_server_.leave();
+    placements_.start_shutdown();
     log_readiness_change();
 }
 
@@ -447,14 +441,16 @@
     if (!state_.is_stopping) {
         return;
     }
-    const duration stopping = now - stopping_since_;
-    if (stopping >= balancer_detection_time) {
+    const bool is_detected = now - stopping_since_ >= forwarding::balancer_detection_time;
+    if (is_detected) {
         callers_.close_idle();
     }
+    if (now >= state_.shutdown.last_response) {
+        callers_.end_unanswered(forwarding::request_end_reason::stopping);
+    }
     // The exit of the process resets connections whose last response is still on its way.
-    const bool is_done =
-        stopping >= balancer_detection_time && state_.running_requests == 0 && callers_.size() == 0;
-    if (is_done || now >= state_.shutdown_deadline) {
+    const bool is_done = is_detected && state_.running_requests == 0 && callers_.size() == 0;
+    if (is_done || now >= state_.shutdown.exit) {
         is_graceful_ = state_.running_requests == 0;
         loop_.stop();
     }
--- a/src/gateway/placement_client.cpp
+++ b/src/gateway/placement_client.cpp
@@ -2,6 +2,7 @@
 
 #include "src/cells/cell_messages.hpp"
 #include "src/cells/wire_conversions.hpp"
+#include "src/forwarding/constants.hpp"
 #include "src/gateway/constants.hpp"
 #include "src/scheduling/cell_home.hpp"
 
@@ -110,13 +111,13 @@
     const auto entry = std::make_shared<placement_entry>();
     entry->acquire = to_acquire(*context, request, state_.time.now());
     entry->wake_timer = std::make_shared<asio::steady_timer>(state_.loop);
-    entry->wake_timer->expires_at(context->deadline());
     const request_id name = cells::attempt_key(entry->acquire.request, entry->acquire.attempt);
     entries_[name] = entry;
     send_to_home(entry);
     context->set_end_handler([wake_timer = entry->wake_timer] { wake_timer->cancel(); });
-    while (!entry->is_answered && !context->is_ended()) {
-        net_error ignored; // The wait ends with a response or with the request.
+    while (!entry->is_answered && !context->is_ended() && !has_missed_shutdown(request)) {
+        entry->wake_timer->expires_at(last_wait(*context, request));
+        net_error ignored; // The wait ends with a response, the request or the last placement.
         co_await entry->wake_timer->async_wait(forwarding::capture_error(ignored));
     }
     context->set_end_handler({});
@@ -125,8 +126,7 @@
             entry->acquire.cell,
             rpc::withdraw{entry->acquire.request, entry->acquire.attempt, entry->acquire.cell});
         entries_.erase(name);
-        co_return placement_response{
-            placement_response::outcome::refused, {}, milliseconds{0}, "ended"};
+        co_return answer_unplaced(*context);
     }
     placement_response answer = entry->answer;
     if (!entry->is_granted) {
@@ -150,6 +150,38 @@
     co_return answer;
 }
 
+bool placement_client::has_missed_shutdown(const placement_request& request) const {
+    return state_.is_stopping && !request.has_response_begun &&
+           state_.time.now() >= state_.shutdown.last_placement;
+}
+
+time_point placement_client::last_wait(const request_context& context,
+                                       const placement_request& request) const {
+    return state_.is_stopping && !request.has_response_begun
+               ? std::min(context.deadline(), state_.shutdown.last_placement)
+               : context.deadline();
+}
+
+placement_response placement_client::answer_unplaced(const request_context& context) const {
+    const bool is_ended = context.is_ended();
+    state_.log.write(weight::notable, "placement.withdrawn",
+                     {{"request", context.metadata().id.str()},
+                      {"reason", is_ended ? to_string(context.end_reason()) : "stopping"},
+                      {"waited_ms", duration{state_.time.now() - context.arrived()}}});
+    return {placement_response::outcome::refused,
+            {},
+            is_ended ? milliseconds{0} : forwarding::shutdown_retry_after,
+            is_ended ? "ended" : "stopping"};
+}
+
+void placement_client::start_shutdown() {
+    for (const auto& [name, entry] : entries_) {
+        if (!entry->is_answered) {
+            entry->wake_timer->cancel(); // The wait begins anew, bounded by the last placement.
+        }
+    }
+}
+
 void placement_client::send_to_home(const entry_ptr& entry) {
     entry->home = homes_.connected_home(entry->acquire.cell);
     entry->asked_at = state_.time.now();
--- a/src/gateway/placement_client.hpp
+++ b/src/gateway/placement_client.hpp
@@ -40,6 +40,9 @@
     /// \brief Sends requests again that no home has received. Called several times a second.
     void tick();
 
+    /// \brief Bounds the waits for a placement by the shutdown schedule.
+    void start_shutdown();
+
 private:
     /// A placement request, from its submission until the end of its attempt.
     struct placement_entry {
@@ -62,6 +65,14 @@
     void handle(const daemon_id& home, const rpc::crashing_parts& known);
     /// \returns the answer to a request if no home can be reached
     [[nodiscard]] forwarding::placement_response answer_without_home(const rpc::acquire& request);
+    /// \returns whether the daemon is shutting down and no placement is of use any more
+    [[nodiscard]] bool has_missed_shutdown(const forwarding::placement_request& request) const;
+    /// \returns when the wait for a placement ends at the latest
+    [[nodiscard]] time_point last_wait(const forwarding::request_context& context,
+                                       const forwarding::placement_request& request) const;
+    /// \returns the answer to a request that has waited in vain
+    [[nodiscard]] forwarding::placement_response
+    answer_unplaced(const forwarding::request_context& context) const;
     void register_grants(const daemon_id& home);
     void send_to_home(const entry_ptr& entry);
     [[nodiscard]] entry_ptr find(const request_id& request, attempt_number attempt) const;
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -16,7 +16,9 @@
     system_clock time;
     boot_clock lease_time;
 
-    explicit gateway_fleet(std::size_t size) {
+    explicit gateway_fleet(std::size_t size) : gateway_fleet(size, {}) {}
+    /// \param bounds of each gateway; the drain bound is set here
+    gateway_fleet(std::size_t size, const settings::installation_bounds& bounds) : bounds_(bounds) {
         add_sample_services(stub);
         for (std::size_t index = 1; index <= size; ++index) {
             add_member("d" + std::to_string(index));
@@ -56,6 +58,20 @@
         (*home)->daemon->halt();
     }
 
+    /// \returns the number of the first gateway that has not logged the text
+    [[nodiscard]] std::size_t find_without(const std::string& text) const {
+        const auto found = std::find_if(members_.begin(), members_.end(), [&text](const auto& row) {
+            return !row->has_logged(text);
+        });
+        REQUIRE(found != members_.end());
+        return static_cast<std::size_t>(found - members_.begin());
+    }
+    /// \returns where a gateway takes callers
+    [[nodiscard]] http::endpoint callers(std::size_t number) const {
+        return http::parse_endpoint(members_.at(number)->configured.callers).value();
+    }
+    void shut_down(std::size_t number) { members_.at(number)->daemon->shut_down(); }
+
     /// Sends one request to the gateway that was started last.
     void send_to_newest(const std::string& request) { send(*members_.back(), request); }
 
@@ -116,10 +132,10 @@
         std::unique_ptr<gateway::gateway_daemon> daemon;
         std::thread thread;
         std::atomic<bool> is_killed{false};
-        std::mutex mutex;
+        mutable std::mutex mutex;
         std::string log;
 
-        [[nodiscard]] bool has_logged(const std::string& text) {
+        [[nodiscard]] bool has_logged(const std::string& text) const {
             const std::lock_guard lock{mutex};
             return log.find(text) != std::string::npos;
         }
@@ -128,6 +144,7 @@
     void add_member(const std::string& name) {
         auto& added = *members_.emplace_back(std::make_unique<member>());
         set_addresses(added.configured, name, stub);
+        added.configured.bounds = bounds_;
         added.configured.bounds.drain = 500ms;
         auto built = gateway::gateway_builder{}
                          .settings(added.configured)
@@ -158,6 +175,7 @@
         received_.push_back(std::move(response));
     }
 
+    settings::installation_bounds bounds_;
     std::vector<std::unique_ptr<member>> members_;
     std::vector<std::thread> callers_;
     std::atomic<bool> is_load_stopped_{false};
