--- a/src/forwarding/backend_connection.cpp
+++ b/src/forwarding/backend_connection.cpp
@@ -14,6 +14,10 @@
 /// Bytes of a body read at once; an event of a token stream has some hundred.
 constexpr std::size_t read_bytes = 8192;
 
+/// Silence after which a keepalive probe is sent, and the time in which it must be confirmed: the
+/// shortest that the kernel takes.
+constexpr int keepalive_seconds = 1;
+
 /// Response heads hold about ten short fields.
 constexpr std::uint32_t max_response_head_bytes = 16384;
 
@@ -106,14 +110,28 @@
     deadline_timer_.expires_at(at);
     deadline_timer_.async_wait([weak = weak_from_this()](const net_error& error) {
         const auto self = weak.lock();
-        if (error || !self) {
-            return;
+        if (!error && self) {
+            self->expire();
         }
-        self->has_expired_ = true;
-        self->close();
     });
 }
 
+void backend_connection::expire() {
+    has_expired_ = true;
+    close();
+}
+
+void backend_connection::enable_keepalive() {
+    using keepalive_option = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using keepalive_interval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using keepalive_probes = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+    net_error ignored; // Without the options, the connection is kept until its deadline.
+    socket_.set_option(keepalive_option{keepalive_seconds}, ignored);
+    socket_.set_option(keepalive_interval{keepalive_seconds}, ignored);
+    socket_.set_option(keepalive_probes{1}, ignored);
+    socket_.set_option(asio::socket_base::keep_alive{true}, ignored);
+}
+
 void backend_connection::clear_deadline() {
     deadline_timer_.cancel();
 }
--- a/src/forwarding/backend_connection.hpp
+++ b/src/forwarding/backend_connection.hpp
@@ -43,6 +43,13 @@
     void set_deadline(time_point at);
     void clear_deadline();
 
+    /// \brief Fails the exchange with errc::timed_out now.
+    void expire();
+
+    /// \brief Fails the exchange with errc::connection_lost if the peer's VM does not confirm
+    /// within two seconds that it still has the connection.
+    void enable_keepalive();
+
     /// \brief Fails the exchange with errc::cancelled.
     void cancel();
     void close();
--- a/src/forwarding/constants.hpp
+++ b/src/forwarding/constants.hpp
@@ -13,6 +13,9 @@
 /// Timeout for a call to an engine's management interface, which needs no slot.
 inline constexpr std::chrono::milliseconds engine_call_timeout{150};
 
+/// RFC 9110, 15.5.20.
+inline constexpr unsigned status_misdirected = 421;
+
 /// Largest response that is buffered until it is complete.
 inline constexpr std::size_t max_full_response_bytes = 4UL * 1024 * 1024;
 
--- a/src/forwarding/decode_stream.cpp
+++ b/src/forwarding/decode_stream.cpp
@@ -2,6 +2,7 @@
 #include "src/forwarding/constants.hpp"
 #include "src/forwarding/error.hpp"
 #include "src/forwarding/header_fields.hpp"
+#include "src/forwarding/stall_watch.hpp"
 #include "src/forwarding/stream_state.hpp"
 
 #include <algorithm>
@@ -12,29 +13,34 @@
 
 using namespace std::chrono_literals;
 
-/// Multiple of the route's gap objective after which a stalled engine is abandoned. An engine that
-/// has evicted a stream's memory stalls for some hundred milliseconds and then continues; resuming
-/// on another engine would repeat the prefill.
-constexpr double max_silent_gaps = 6.0;
-
-/// RFC 9110, 15.5.20.
-constexpr unsigned status_misdirected = 421;
+/// Multiples of the route's gap objective within which an attempt must have its first event.
+/// Capacity was reserved, so an engine in order needs less than one.
+constexpr int first_event_gaps = 1;
+constexpr int patient_first_event_gaps = 6;
 
 /// Largest incomplete event: a thousand times the size of an event of some tokens. Larger ones are
 /// not valid events.
 constexpr std::size_t max_event_bytes = 256UL * 1024;
 
-/// Deadline for the next event of an engine. A stream that is not resumable keeps its engine until
-/// the request times out.
-time_point progress_deadline(const request_context& request, time_point since, bool has_started) {
-    if (!request.route().is_resumable) {
+/// Whether the request may be sent to another engine if the current one, which is one of the sends,
+/// fails.
+bool may_go_on_elsewhere(gateway_state& state, const request_context& request,
+                         const stream_state& stream, unsigned sends) {
+    return request.route().is_resumable && sends < request.route().max_attempts &&
+           scheduling::has_retry(retry_budget_of(state, stream.placement.service));
+}
+
+/// Deadline for the first event of an attempt. An engine is left early only for another one, and a
+/// response that has begun is not given up before the request times out.
+time_point first_event_deadline(gateway_state& state, const request_context& request,
+                                const stream_state& stream, unsigned sends, time_point since) {
+    const bool has_alternative = may_go_on_elsewhere(state, request, stream, sends);
+    if (!request.route().is_resumable || (stream.has_started && !has_alternative)) {
         return request.deadline();
     }
-    const duration allowed = has_started
-                                 ? std::chrono::duration_cast<duration>(
-                                       request.route().inter_event_objective * max_silent_gaps)
-                                 : duration{request.route().inter_event_objective};
-    return std::min(request.deadline(), since + allowed);
+    const bool is_patient = stream.has_started || !has_alternative;
+    const int gaps = is_patient ? patient_first_event_gaps : first_event_gaps;
+    return std::min(request.deadline(), since + gaps * request.route().inter_event_objective);
 }
 
 asio::awaitable<bool> forward_events(gateway_state& state, request_context& request,
@@ -59,20 +65,23 @@
 /// Forwards events until the stream ends.
 asio::awaitable<decode_attempt> relay_events(gateway_state& state, request_context_ptr request,
                                              caller_connection& caller, connection_ptr connection,
-                                             stream_state& stream) {
+                                             discovery::backend engine, stream_state& stream) {
     const unsigned status = connection->status();
     std::string bytes;
-    time_point last_event_at = state.time.now();
+    stall_watch watch{state, request, connection, std::move(engine), [&state, request, &stream] {
+                          return may_go_on_elsewhere(state, *request, stream, stream.sends);
+                      }};
+    // Until the first event, the deadline of the attempt is in force. Bytes that complete no event
+    // do not extend it.
     while (!connection->is_response_complete()) {
-        // Bytes that complete no event do not extend the deadline.
-        connection->set_deadline(progress_deadline(*request, last_event_at, stream.has_started));
         bytes.clear();
         const std::error_code error = co_await connection->read_body(bytes);
         std::string events = stream.events.append(bytes);
         if (!events.empty()) {
-            last_event_at = state.time.now();
+            watch.record_event();
             if (stream.attempt_began_at == time_point{}) {
-                stream.attempt_began_at = last_event_at;
+                stream.attempt_began_at = state.time.now();
+                connection->set_deadline(request->deadline());
             }
         }
         if (stream.events.partial().size() > max_event_bytes) {
@@ -175,7 +184,8 @@
     stream.events.discard_partial();
     stream.attempt_began_at = {};
     backend_request outgoing = decode_request(state, *request, reservation, prefill, stream);
-    const time_point deadline = progress_deadline(*request, state.time.now(), false);
+    const time_point deadline =
+        first_event_deadline(state, *request, stream, stream.sends + 1, state.time.now());
     const open_exchange exchange =
         co_await start_exchange(state, request, reservation.engine, std::move(outgoing), deadline);
     if (exchange.error) {
@@ -212,7 +222,8 @@
         co_return failed;
     }
     stream.execution = execution_state::unknown;
-    const decode_attempt result = co_await relay_events(state, request, caller, connection, stream);
+    const decode_attempt result =
+        co_await relay_events(state, request, caller, connection, reservation.engine, stream);
     const bool is_done = result.outcome == attempt_outcome::done;
     if (is_done && !stream.has_started) {
         stream.has_started = true;
--- a/src/scheduling/retry_budget.cpp
+++ b/src/scheduling/retry_budget.cpp
@@ -8,8 +8,12 @@
     budget.tokens = std::min(budget.tokens + budget.retries_per_request, budget.max_tokens);
 }
 
+bool has_retry(const retry_budget& budget) noexcept {
+    return budget.tokens >= 1;
+}
+
 bool take_retry(retry_budget& budget) noexcept {
-    if (budget.tokens < 1) {
+    if (!has_retry(budget)) {
         return false;
     }
     budget.tokens -= 1;
--- a/src/scheduling/retry_budget.hpp
+++ b/src/scheduling/retry_budget.hpp
@@ -17,6 +17,9 @@
 /// \brief Adds the tokens of one request.
 void record_request(retry_budget& budget) noexcept;
 
+/// \returns whether take_retry() would succeed now
+[[nodiscard]] bool has_retry(const retry_budget& budget) noexcept;
+
 /// \brief Takes a token for one retry.
 /// \returns whether the retry may be made
 [[nodiscard]] bool take_retry(retry_budget& budget) noexcept;
--- a/test/support/platform_stub.cpp
+++ b/test/support/platform_stub.cpp
@@ -61,9 +61,6 @@
             {"lease", item.lease}};
 }
 
-/// Time from the request to the first event.
-constexpr std::chrono::milliseconds first_event_time{5};
-
 /// Open connections; used by the stub's thread only. Outlives the engine: coroutines that serve its
 /// connections are destroyed with the event loop.
 using socket_set = std::shared_ptr<std::set<tcp::socket*>>;
@@ -511,7 +508,7 @@
         asio::steady_timer pause{loop};
         net_error error;
         if (holds_crash_part(asked, script)) {
-            pause.expires_after(first_event_time);
+            pause.expires_after(script.first_event_delay);
             co_await pause.async_wait(capture_error(error));
             asio::co_spawn(loop, crash_engine(engine), asio::detached);
             co_return false;
@@ -535,8 +532,12 @@
         }
         const bool has_events = script.framing != stream_framing::until_close_empty;
         for (unsigned event = first; event < script.events && has_events; ++event) {
-            pause.expires_after(event == first ? first_event_time : script.event_gap);
+            pause.expires_after(event == first ? script.first_event_delay : script.event_gap);
             co_await pause.async_wait(capture_error(error));
+            if (script.silent_before_event != 0 && event == script.silent_before_event) {
+                pause.expires_after(script.silence);
+                co_await pause.async_wait(capture_error(error));
+            }
             if (!co_await send_event(socket, engine, script, event)) {
                 co_return false;
             }
@@ -555,6 +556,10 @@
         const engine_script script = script_of(engine);
         const std::string target = text(asked.target());
         const std::string id = text(asked[attempt_field]);
+        if (script.is_unresponsive) {
+            co_await wait_until_closed(socket);
+            co_return false;
+        }
         if (target == "/cicadahatch/hold-take") {
             const std::string body = script.has_capacity ? R"({"hold":"h1"})" : "{}";
             const std::string answer =
--- a/test/support/platform_stub.hpp
+++ b/test/support/platform_stub.hpp
@@ -61,6 +61,10 @@
         0; ///< resets the connection once after this many events; zero: never
     bool resets_within_event = false;
     std::chrono::milliseconds event_gap{5};
+    std::chrono::milliseconds first_event_delay{5};
+    unsigned silent_before_event = 0; ///< pauses before this event; zero: never
+    std::chrono::milliseconds silence{0};
+    bool is_unresponsive = false; ///< answers no request
     /// How the body of a stream ends.
     enum class stream_framing : std::uint8_t {
         chunked,
