--- a/src/forwarding/backend_connection.cpp
+++ b/src/forwarding/backend_connection.cpp
@@ -73,6 +73,19 @@
 }
 
 asio::awaitable<std::error_code> backend_connection::read_head() {
+    std::error_code error = co_await read_next_head();
+    int interim = 0;
+    while (!error && http::is_interim(status()) && ++interim <= http::max_interim_responses) {
+        error = co_await read_next_head();
+    }
+    if (!error && status() < http::status_ok) {
+        is_broken_ = true;
+        co_return errc::bad_response;
+    }
+    co_return error;
+}
+
+asio::awaitable<std::error_code> backend_connection::read_next_head() {
     parser_.emplace();
     parser_->header_limit(max_response_head_bytes);
     // Callers of read_body() bound what they buffer; a stream has no total limit.
--- a/src/forwarding/backend_connection.hpp
+++ b/src/forwarding/backend_connection.hpp
@@ -32,7 +32,7 @@
     /// \brief Starts writing a request. The next response read belongs to it.
     void start_request(backend_request outgoing);
 
-    /// \brief Reads the head of the response.
+    /// \brief Reads the head of the final response. Interim responses are dropped.
     [[nodiscard]] asio::awaitable<std::error_code> read_head();
 
     /// \brief Waits for body bytes and appends them to output. The body is complete once
@@ -79,6 +79,8 @@
     using parser = beast_http::response_parser<beast_http::buffer_body>;
 
     [[nodiscard]] std::error_code classify_error(const net_error& error) const;
+    /// \brief Reads the head of the next response, which may be an interim one.
+    [[nodiscard]] asio::awaitable<std::error_code> read_next_head();
 
     tcp::socket socket_;
     asio::steady_timer deadline_timer_;
--- a/src/http/constants.hpp
+++ b/src/http/constants.hpp
@@ -25,6 +25,10 @@
 /// Preference (RFC 7240) of a caller whose client can't read interim responses.
 inline constexpr std::string_view prefer_no_interim = "no-interim";
 
+/// Interim responses (RFC 9110, 15.2) that a client skips before a final response.
+inline constexpr int max_interim_responses = 16;
+
+inline constexpr int status_switching_protocols = 101;
 inline constexpr int status_ok = 200;
 inline constexpr int status_bad_request = 400;
 inline constexpr int status_unauthorized = 401;
@@ -42,4 +46,11 @@
 inline constexpr int status_unavailable = 503;
 inline constexpr int status_gateway_timeout = 504;
 
+/// \returns whether a final response follows. No client here asks for another protocol, so 101 is
+/// not a response to any of its requests.
+[[nodiscard]] constexpr bool is_interim(unsigned status) noexcept {
+    constexpr unsigned first_interim = 100;
+    return status >= first_interim && status < status_ok && status != status_switching_protocols;
+}
+
 } // namespace cicadahatch::http
--- a/src/http/timed_client.cpp
+++ b/src/http/timed_client.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <optional>
 
 namespace cicadahatch::http {
 
@@ -101,20 +102,27 @@
     const beast_request message = to_beast(sent, to_string(used.place));
     boost::system::error_code error =
         used.run([&](auto done) { beast::http::async_write(*used.stream, message, done); });
-    beast_parser parser;
-    parser.body_limit(max_response_bytes);
-    if (!error) {
-        error = used.run(
-            [&](auto done) { beast::http::async_read(*used.stream, used.buffer, parser, done); });
-    }
-    if (!error) {
-        if (!parser.keep_alive()) {
+    std::optional<beast_parser> parser;
+    int responses = 0;
+    do {
+        parser.emplace();
+        parser->body_limit(max_response_bytes);
+        if (!error) {
+            error = used.run([&](auto done) {
+                beast::http::async_read(*used.stream, used.buffer, *parser, done);
+            });
+        }
+    } while (!error && is_interim(parser->get().result_int()) &&
+             ++responses <= max_interim_responses);
+    if (!error && parser->get().result_int() >= status_ok) {
+        if (!parser->keep_alive()) {
             used.close();
         }
-        return from_beast(parser);
+        return from_beast(*parser);
     }
     used.close();
-    const bool is_stale = was_kept && error != beast::error::timeout && !parser.got_some();
+    const bool is_stale =
+        was_kept && error != beast::error::timeout && responses == 0 && !parser->got_some();
     if (is_stale && is_repeatable) {
         return call(sent, timeout, false);
     }
--- a/test/gateway/backend_answers_test.cpp
+++ b/test/gateway/backend_answers_test.cpp
@@ -271,3 +271,31 @@
     answer = call("POST", "/stream/x", stream_head(), "prompt");
     CHECK(status_of(answer) == 502);
 }
+
+TEST_CASE_FIXTURE(backend_answers_fixture,
+                  "servers, interim response before each answer, callers get the answers") {
+    engine_script script;
+    script.interim_responses = 2;
+    for (const std::string server : {"shop-1", "p-1", "x-1"}) {
+        stub.set_script(server, script);
+    }
+    for (int round = 0; round < 3; ++round) {
+        const std::string plain = call("POST", "/book/x", {}, "b");
+        CHECK(status_of(plain) == 200);
+        CHECK(plain.ends_with("whole answer"));
+        const std::string stream = call("POST", "/stream/x", stream_head(), "prompt");
+        CHECK(status_of(stream) == 200);
+        CHECK(stream.find("id: 3") != std::string::npos);
+        CHECK(stream.ends_with("0\r\n\r\n"));
+    }
+    CHECK(stub.count("shop-1", "/book/x") == 3);
+    CHECK(stub.count("x-1", "/stream/x") == 3);
+}
+
+TEST_CASE_FIXTURE(backend_answers_fixture,
+                  "server, endless interim responses, caller gets an error at once") {
+    engine_script script;
+    script.interim_responses = 100'000;
+    stub.set_script("shop-1", script);
+    CHECK(status_of(call("POST", "/book/x", {}, "b")) == 502);
+}
--- a/test/platform/kv_store_test.cpp
+++ b/test/platform/kv_store_test.cpp
@@ -100,3 +100,15 @@
     CHECK(patient.list("").error() == errc::unavailable);
     CHECK(std::chrono::steady_clock::now() - begun < timeout / 2);
 }
+
+TEST_CASE_FIXTURE(kv_store_fixture, "calls, interim response before each reply, get their own") {
+    stub.set_store_mode(store_mode::interim_reply);
+    for (const std::string key : {"a/1", "a/2", "a/3"}) {
+        const auto outcome = store.swap(key, {}, "x", {});
+        REQUIRE(outcome);
+        CHECK(outcome->is_swapped);
+    }
+    const auto listed = store.list("a/");
+    REQUIRE(listed);
+    CHECK(listed->entries.size() == 3);
+}
--- a/test/support/platform_stub.cpp
+++ b/test/support/platform_stub.cpp
@@ -291,6 +291,9 @@
             if (now == store_mode::lost_reply) {
                 co_return;
             }
+            if (now == store_mode::interim_reply) {
+                co_await send(socket, interim_text({}));
+            }
             beast_http::response<beast_http::string_body> answer;
             answer.result(made.first);
             answer.version(11);
@@ -369,6 +372,10 @@
                body;
     }
 
+    static std::string interim_text(const std::string& id) {
+        return "HTTP/1.1 102 Processing\r\n" + std::string{attempt_field} + ": " + id + "\r\n\r\n";
+    }
+
     static std::string chunked_head(const std::string& id, const std::string& extra) {
         return "HTTP/1.1 200 OK\r\n" + extra + attempt_field + ": " + id +
                "\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n";
@@ -560,6 +567,9 @@
             co_await wait_until_closed(socket);
             co_return false;
         }
+        for (unsigned sent = 0; sent < script.interim_responses; ++sent) {
+            co_await send(socket, interim_text(id));
+        }
         if (target == "/cicadahatch/hold-take") {
             const std::string body = script.has_capacity ? R"({"hold":"h1"})" : "{}";
             const std::string answer =
--- a/test/support/platform_stub.hpp
+++ b/test/support/platform_stub.hpp
@@ -13,11 +13,12 @@
 /// \brief How the stub of the platform's store responds.
 enum class store_mode : std::uint8_t {
     normal,
-    busy,         ///< 503: nothing was done
-    unresponsive, ///< accepts calls and never responds
-    lost_reply,   ///< executes calls and closes the connection without a response
-    compacted,    ///< watches get 410
-    endless_reply ///< replies have an endless chunk extension
+    busy,          ///< 503: nothing was done
+    unresponsive,  ///< accepts calls and never responds
+    lost_reply,    ///< executes calls and closes the connection without a response
+    compacted,     ///< watches get 410
+    endless_reply, ///< replies have an endless chunk extension
+    interim_reply  ///< an interim response (RFC 9110, 15.2) before each reply
 };
 
 /// \brief How a stub engine responds.
@@ -64,7 +65,8 @@
     std::chrono::milliseconds first_event_delay{5};
     unsigned silent_before_event = 0; ///< pauses before this event; zero: never
     std::chrono::milliseconds silence{0};
-    bool is_unresponsive = false; ///< answers no request
+    bool is_unresponsive = false;   ///< answers no request
+    unsigned interim_responses = 0; ///< sent before each answer
     /// How the body of a stream ends.
     enum class stream_framing : std::uint8_t {
         chunked,
