--- a/src/forwarding/constants.hpp
+++ b/src/forwarding/constants.hpp
@@ -19,8 +19,8 @@
 /// Largest response that is buffered until it is complete.
 inline constexpr std::size_t max_full_response_bytes = 4UL * 1024 * 1024;
 
-/// Duration of an ordinary stream from its first event to its last. An order of magnitude: streams
-/// differ by a factor of about two.
+/// Typical duration of a stream from its first event to its last; streams differ by a factor of
+/// about two.
 inline constexpr std::chrono::milliseconds ordinary_stream_duration{2'000};
 
 /// Time until the load balancer stops using a daemon that is shutting down: it probes once a second
--- a/src/forwarding/decode_stream.cpp
+++ b/src/forwarding/decode_stream.cpp
@@ -13,9 +13,11 @@
 
 using namespace std::chrono_literals;
 
-/// Multiples of the route's gap objective within which an attempt must have its first event.
-/// Capacity was reserved, so an engine in order needs less than one.
+/// Multiple of the route's gap objective within which the first event is due while another engine
+/// may still meet the objective. Capacity was reserved, so a healthy engine needs less than one.
 constexpr int first_event_gaps = 1;
+
+/// The same where no other engine may be tried, or the caller already has a part of the response.
 constexpr int patient_first_event_gaps = 6;
 
 /// Largest incomplete event: a thousand times the size of an event of some tokens. Larger ones are
--- a/src/forwarding/stall.hpp
+++ b/src/forwarding/stall.hpp
@@ -8,9 +8,9 @@
 
 /// \brief What is known about the engine of a stream that has stalled.
 ///
-/// An engine that has evicted a stream's memory is silent until it has read the stream in again.
-/// Such an engine is kept: its silence alone does not tell that the stream is lost, and it works on
-/// the stream even after its connection is closed.
+/// An engine that has evicted a stream's memory is silent until it has prefilled the stream again.
+/// Such an engine is kept: its silence alone does not tell that the stream is lost, and it may run
+/// the stream even after the connection is closed.
 struct stall {
     time_point last_event_at; ///< or the start of the attempt
     time_point next_check_at;
--- a/src/forwarding/stall_watch.cpp
+++ b/src/forwarding/stall_watch.cpp
@@ -53,7 +53,8 @@
 
 stall_watch::~stall_watch() {
     watched_->has_ended = true;
-    watched_->timer.cancel();
+    net_error ignored; // Without a pending wait, the watch ends at its next wake-up.
+    watched_->timer.cancel(ignored);
 }
 
 void stall_watch::record_event() {
--- a/src/gateway/internal/gateway_daemon_impl.cpp
+++ b/src/gateway/internal/gateway_daemon_impl.cpp
@@ -441,15 +441,15 @@
     if (!state_.is_stopping) {
         return;
     }
-    const bool is_detected = now - stopping_since_ >= forwarding::balancer_detection_time;
-    if (is_detected) {
+    const bool is_out_of_rotation = now - stopping_since_ >= forwarding::balancer_detection_time;
+    if (is_out_of_rotation) {
         callers_.close_idle();
     }
     if (now >= state_.shutdown.last_response) {
         callers_.end_unanswered(forwarding::request_end_reason::stopping);
     }
     // The exit of the process resets connections whose last response is still on its way.
-    const bool is_done = is_detected && state_.running_requests == 0 && callers_.size() == 0;
+    const bool is_done = is_out_of_rotation && state_.running_requests == 0 && callers_.size() == 0;
     if (is_done || now >= state_.shutdown.exit) {
         is_graceful_ = state_.running_requests == 0;
         loop_.stop();
