Tests: reserve the ports of gateways instead of picking free ones

Cause: free_endpoint() bound a port, closed it and gave out its number, so it could be given out again before the gateway listened. Ruled out: the time bounds of the test, which are not reached before the gateway runs.

A reserved port stays bound, without listening, until the test process ends. The kernel gives it to nobody else, and the gateway's listener, which sets SO_REUSEADDR, can use it.

A test whose gateway is not built now states the error, and a fleet whose construction fails ends its gateways.

--- a/test/gateway/home_server_test.cpp
+++ b/test/gateway/home_server_test.cpp
@@ -2,6 +2,7 @@
 #include "platform/binding.hpp"
 #include "src/gateway/cell_configuration.hpp"
 #include "src/gateway/home_server.hpp"
+#include "test/support/reserved_port.hpp"
 
 #include <doctest/doctest.h>
 #include <functional>
@@ -55,9 +56,7 @@
         state.backends.upsert(engine("p-1", backend_role::prefill), changes);
         state.backends.upsert(engine("p-2", backend_role::prefill), changes);
         state.backends.upsert(engine("x-1", backend_role::decode), changes);
-        tcp::acceptor probe{loop, tcp::endpoint{asio::ip::make_address("127.0.0.1"), 0}};
-        place = probe.local_endpoint();
-        probe.close();
+        place = {asio::ip::make_address("127.0.0.1"), test_support::reserve_port()};
         REQUIRE(homes.open(http::endpoint{"127.0.0.1", place.port()}));
     }
     static discovery::backend engine(const std::string& id, backend_role role) {
--- a/test/gateway/registry_subscriber_test.cpp
+++ b/test/gateway/registry_subscriber_test.cpp
@@ -2,6 +2,7 @@
 #include "src/gateway/registry_publisher.hpp"
 #include "src/gateway/registry_subscriber.hpp"
 #include "src/scheduling/cell_home.hpp"
+#include "test/support/reserved_port.hpp"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -53,9 +54,7 @@
         return names;
     }
     void add(const std::string& name, const std::string& domain) {
-        tcp::acceptor probe{loop, tcp::endpoint{asio::ip::make_address("127.0.0.1"), 0}};
-        const http::endpoint place{"127.0.0.1", probe.local_endpoint().port()};
-        probe.close();
+        const http::endpoint place{"127.0.0.1", test_support::reserve_port()};
         auto& made = publishers[daemon_id{name}];
         made = std::make_unique<gateway::registry_publisher>(loop, time, publisher_time);
         REQUIRE(made->open(place));
--- a/test/support/gateway_fixture.hpp
+++ b/test/support/gateway_fixture.hpp
@@ -4,34 +4,21 @@
 #include "platform/binding.hpp"
 #include "test/support/platform_stub.hpp"
 #include "test/support/raw_caller.hpp"
+#include "test/support/reserved_port.hpp"
 
-#include <arpa/inet.h>
 #include <atomic>
 #include <doctest/doctest.h>
 #include <functional>
 #include <mutex>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <thread>
-#include <unistd.h>
 
 namespace cicadahatch::test_support {
 
 using namespace std::chrono_literals;
 
-/// \returns a free loopback endpoint
+/// \returns a loopback endpoint that nobody else is given
 inline std::string free_endpoint() {
-    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    // NOLINTBEGIN(cppcoreguidelines-pro-type-reinterpret-cast): the socket interface asks for it
-    REQUIRE(bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) == 0);
-    REQUIRE(getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size) == 0);
-    // NOLINTEND(cppcoreguidelines-pro-type-reinterpret-cast)
-    close(descriptor);
-    return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    return "127.0.0.1:" + std::to_string(reserve_port());
 }
 
 inline bool eventually(const std::function<bool()>& holds) {
@@ -64,6 +51,11 @@
     stub.add_engine("x-1", "model", "decode");
 }
 
+/// \returns why a gateway was not built, for the report of a failed test; empty if it was built
+inline std::string build_error(const result<std::unique_ptr<gateway::gateway_daemon>>& built) {
+    return built ? std::string{} : built.error().message();
+}
+
 /// Runs a gateway in this process against a stub of the platform.
 struct gateway_fixture {
     using plain_answer = engine_script::plain_answer;
@@ -103,6 +95,7 @@
                          .platform(platform::binding())
                          .log_output([this](std::string_view line) { return append_log(line); })
                          .build();
+        INFO(build_error(built));
         REQUIRE(built);
         daemon = std::move(*built);
         daemon_thread = std::thread([this] { ended_gracefully = daemon->run(); });
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -35,7 +35,6 @@
         stop_load();
         for (const auto& row : members_) {
             row->daemon->halt();
-            row->thread.join();
         }
     }
 
@@ -135,6 +134,17 @@
         mutable std::mutex mutex;
         std::string log;
 
+        member() = default;
+        member(const member&) = delete;
+        member& operator=(const member&) = delete;
+        member(member&&) = delete;
+        member& operator=(member&&) = delete;
+        ~member() {
+            if (thread.joinable()) {
+                daemon->halt();
+                thread.join();
+            }
+        }
         [[nodiscard]] bool has_logged(const std::string& text) const {
             const std::lock_guard lock{mutex};
             return log.find(text) != std::string::npos;
@@ -157,6 +167,7 @@
                              return true;
                          })
                          .build();
+        INFO(build_error(built));
         REQUIRE(built);
         added.daemon = std::move(*built);
         added.thread = std::thread([&added] { static_cast<void>(added.daemon->run()); });
--- a/test/support/platform_stub.cpp
+++ b/test/support/platform_stub.cpp
@@ -3,6 +3,7 @@
 #include "src/forwarding/asio.hpp"
 #include "src/store/internal/base64.hpp"
 #include "test/support/require.hpp"
+#include "test/support/reserved_port.hpp"
 
 #include <array>
 #include <boost/asio/post.hpp>
@@ -114,8 +115,8 @@
     std::size_t calls = 0;
 
     static std::unique_ptr<tcp::acceptor> listen(asio::io_context& on) {
-        const tcp::endpoint any{asio::ip::make_address("127.0.0.1"), 0};
-        return std::make_unique<tcp::acceptor>(on, any);
+        const tcp::endpoint place{asio::ip::make_address("127.0.0.1"), reserve_port()};
+        return std::make_unique<tcp::acceptor>(on, place);
     }
 
     // The functions below are called with the mutex held.
