Store: revisions that grow over restores from an older copy

The platform's store may come back from a copy of its data that is some seconds old. Its revisions and lease numbers go back and are given out again; each reply states in a header how often this has happened. Nothing read that header, so - a watch went on from its place if the counter had climbed past it by then, and missed what was written again under revisions seen before; - a lease won after a restore could have a smaller fencing number than one in use, or the same; - a daemon could renew or revoke the lease that another had been given under the same number; - a write could find its expected revision by chance.

A revision now holds the store's generation above its counter, so that all comparisons of revisions stay right as they are. The platform's client compares the generation of each reply: a watch of an earlier generation ends as compacted, a lease of one has expired, a write that expects a revision of one is not sent (errc::restored), or of unknown outcome if the restore is learnt from its reply. It numbers leases itself. A generation that falls, is missing after one, or is malformed makes a reply that is not understood. A store that states none is used as before.

--- a/src/core/identifiers.hpp
+++ b/src/core/identifiers.hpp
@@ -22,7 +22,7 @@
 using attempt_number = number_id<struct attempt_tag, std::uint32_t>;
 /// Tells one start of a process from the next; grows with every start.
 using incarnation = number_id<struct incarnation_tag, std::uint64_t>;
-/// A store revision; it only grows.
+/// A store revision; it only grows, also if the store is restored: see store::make_revision().
 using revision = number_id<struct revision_tag, std::uint64_t>;
 /// Fencing number of an order; a backend server may refuse a smaller one than it has seen.
 using fencing_number = number_id<struct fencing_tag, std::uint64_t>;
--- a/src/store/error.cpp
+++ b/src/store/error.cpp
@@ -25,6 +25,8 @@
             return "lease expired";
         case errc::compacted:
             return "revision compacted";
+        case errc::restored:
+            return "store restored from an older copy";
         case errc::protocol:
             return "reply not understood";
         }
@@ -45,7 +47,7 @@
 
 bool is_surely_not_applied(const std::error_code& error) noexcept {
     return error == errc::unavailable || error == errc::rate_limited ||
-           error == errc::circuit_open || error == errc::value_too_large;
+           error == errc::circuit_open || error == errc::value_too_large || error == errc::restored;
 }
 
 } // namespace cicadahatch::store
--- a/src/store/etcd_store.hpp
+++ b/src/store/etcd_store.hpp
@@ -22,7 +22,8 @@
 ///
 /// Endpoints are tried in turn, from the one that answered last. A write moves on to the next
 /// endpoint only if no byte of it can have reached the one before. A watched prefix holds one
-/// stream open, which later calls of watch() go on reading.
+/// stream open, which later calls of watch() go on reading. etcd states no generation, so a restore
+/// from a backup is not noticed.
 /// \sa etcd_store_builder
 class etcd_store final : public key_value_store {
 public:
--- a/src/store/key_value_store.hpp
+++ b/src/store/key_value_store.hpp
@@ -50,6 +50,11 @@
 
 /// \brief The platform's key-value service. Safe for use by several threads.
 /// Every call blocks for at most the implementation's timeout. Errors are of store::errc.
+///
+/// The service may come back from an older copy of its data. Revisions grow nevertheless, and lease
+/// numbers are not reused, if it states its generation: a lease of an earlier generation has
+/// expired, a watch from an earlier generation gets errc::compacted, and a write that expects a
+/// revision of an earlier generation gets errc::restored.
 class key_value_store {
 public:
     key_value_store() = default;
--- a/test/platform/kv_store_test.cpp
+++ b/test/platform/kv_store_test.cpp
@@ -1,5 +1,6 @@
 #include "platform/kv_store.hpp"
 #include "src/store/error.hpp"
+#include "src/store/generation.hpp"
 #include "test/support/platform_stub.hpp"
 
 #include <doctest/doctest.h>
@@ -16,6 +17,28 @@
     platform::kv_store store{stub.store(), 200ms};
 };
 
+/// \returns the error, or none
+template <class Value>
+std::error_code error_of(const result<Value>& outcome) {
+    return outcome ? std::error_code{} : outcome.error();
+}
+
+/// A store that keeps a copy of its data after the first write.
+struct restored_store_fixture : kv_store_fixture {
+    restored_store_fixture() {
+        stub.put("a/1", "x");
+        stub.copy_store();
+    }
+    /// Climbs to the given revision by writes of others.
+    void write_until(revision reached) {
+        const revision start = platform::kv_store{stub.store(), 200ms}.list("").value().at;
+        for (auto counter = store::counter_of(start); counter < store::counter_of(reached);
+             ++counter) {
+            stub.put("other", std::to_string(counter));
+        }
+    }
+};
+
 } // namespace
 
 TEST_CASE_FIXTURE(kv_store_fixture, "swap, key absent as expected, writes the key") {
@@ -112,3 +135,126 @@
     REQUIRE(listed);
     CHECK(listed->entries.size() == 3);
 }
+
+// Guards against changes that are missed because revisions are counted again after a restore.
+TEST_CASE_FIXTURE(restored_store_fixture,
+                  "watch, store restored and past that revision again, returns compacted") {
+    const revision seen = store.list("").value().at;
+    stub.put("a/2", "lost");
+    const auto batch = store.watch("", revision{seen.value() + 1}, 500ms);
+    REQUIRE(batch);
+    stub.restore_store();
+    stub.put("a/3", "written again");
+    write_until(batch->next);
+    static_cast<void>(store.list("")); // The connection of before has been reset.
+    CHECK(error_of(store.watch("", batch->next, 10ms)) == errc::compacted);
+}
+
+TEST_CASE_FIXTURE(restored_store_fixture, "watch, first call after a restore, returns compacted") {
+    const revision seen = store.list("").value().at;
+    stub.restore_store();
+    stub.put("a/3", "written again");
+    CHECK(error_of(store.watch("", revision{seen.value() + 1}, 10ms)) == errc::compacted);
+}
+
+TEST_CASE_FIXTURE(restored_store_fixture,
+                  "list, store restored, revisions are greater than before") {
+    stub.put("a/2", "lost");
+    const auto before = store.list("");
+    REQUIRE(before);
+    stub.restore_store();
+    const auto after = store.list("");
+    REQUIRE(after);
+    CHECK(after->at > before->at);
+    CHECK(after->entries.at(0).modified > before->entries.at(1).modified);
+    CHECK(after->entries.size() == 1);
+}
+
+// Guards against a write whose condition holds by chance, since revisions are given out again.
+TEST_CASE_FIXTURE(restored_store_fixture,
+                  "swap, expects a revision of before a restore, is not applied") {
+    const auto written = store.swap("b", {}, "mine", {});
+    REQUIRE(written);
+    stub.restore_store();
+    stub.put("b", "theirs");
+    static_cast<void>(store.list(""));
+    const auto outcome = store.swap("b", written->at, "mine again", {});
+    REQUIRE_FALSE(outcome);
+    CHECK(outcome.error() == errc::restored);
+    CHECK(store::is_surely_not_applied(outcome.error()));
+    CHECK(store.list("b")->entries.at(0).value == "theirs");
+}
+
+TEST_CASE_FIXTURE(
+    restored_store_fixture,
+    "swap, condition holds by chance before the restore is known, outcome is unknown") {
+    const auto written = store.swap("b", {}, "mine", {});
+    REQUIRE(written);
+    stub.restore_store();
+    stub.put("b", "theirs");
+    const auto outcome = store.swap("b", written->at, "mine again", {});
+    CHECK(error_of(outcome) == errc::outcome_unknown);
+}
+
+// Guards against two holders of one lease: numbers of leases are given out again after a restore.
+TEST_CASE_FIXTURE(restored_store_fixture,
+                  "keep_alive, number of the lease granted again after a restore, has expired") {
+    const auto mine = store.grant_lease(15s);
+    REQUIRE(mine);
+    stub.restore_store();
+    platform::kv_store other{stub.store(), 200ms};
+    REQUIRE(other.grant_lease(15s));
+    static_cast<void>(store.list(""));
+    CHECK(error_of(store.keep_alive(*mine)) == errc::lease_expired);
+    CHECK(error_of(store.swap("b", {}, "x", *mine)) == errc::lease_expired);
+    CHECK(store.list("b")->entries.empty());
+}
+
+TEST_CASE_FIXTURE(restored_store_fixture, "keep_alive, restore not known before, has expired") {
+    const auto mine = store.grant_lease(15s);
+    REQUIRE(mine);
+    stub.restore_store();
+    platform::kv_store other{stub.store(), 200ms};
+    REQUIRE(other.grant_lease(15s));
+    auto kept = store.keep_alive(*mine);
+    if (!kept && kept.error() == errc::outcome_unknown) {
+        kept = store.keep_alive(*mine); // The first call met the reset of the connection.
+    }
+    CHECK(error_of(kept) == errc::lease_expired);
+}
+
+TEST_CASE_FIXTURE(restored_store_fixture,
+                  "revoke_lease, number of the lease granted again after a restore, keeps the "
+                  "other's keys") {
+    const auto mine = store.grant_lease(15s);
+    REQUIRE(mine);
+    stub.restore_store();
+    platform::kv_store other{stub.store(), 200ms};
+    const auto theirs = other.grant_lease(15s);
+    REQUIRE(theirs);
+    REQUIRE(other.swap("b", {}, "theirs", *theirs)->is_swapped);
+    static_cast<void>(store.list(""));
+    CHECK(store.revoke_lease(*mine));
+    CHECK(store.list("b")->entries.size() == 1);
+}
+
+TEST_CASE_FIXTURE(kv_store_fixture, "calls, generation falls or is malformed, are not understood") {
+    stub.state_generation("4");
+    REQUIRE(store.list(""));
+    for (const char* stated : {"3", "-1", "x", "4x", "99999999999", "16777216"}) {
+        stub.state_generation(stated);
+        CHECK(error_of(store.list("")) == errc::protocol);
+        CHECK(error_of(store.swap("a/1", {}, "x", {})) == errc::outcome_unknown);
+    }
+    stub.state_generation("");
+    CHECK(error_of(store.list("")) == errc::protocol);
+    stub.state_generation("4");
+    CHECK(store.list(""));
+}
+
+TEST_CASE_FIXTURE(kv_store_fixture, "calls, no generation stated, revisions are the store's") {
+    const auto outcome = store.swap("a/1", {}, "x", {});
+    REQUIRE(outcome);
+    CHECK(store::generation_of(outcome->at).empty());
+    CHECK(store.list("")->at == outcome->at);
+}
--- a/test/store/resuming_watch_test.cpp
+++ b/test/store/resuming_watch_test.cpp
@@ -103,3 +103,48 @@
     const auto outcome = store::swap_with_read_back(kept, "a", {}, "mine");
     CHECK(outcome.error() == store::errc::outcome_unknown);
 }
+
+TEST_CASE_FIXTURE(watch_fixture, "poll, store restored and past its place again, lists again") {
+    REQUIRE(test_support::put(kept, "w/a", "1"));
+    const auto copied = kept.copy();
+    REQUIRE(test_support::put(kept, "w/b", "lost"));
+    poll();
+    kept.restore(copied);
+    for (const std::string value : {"2", "3", "4"}) {
+        REQUIRE(test_support::put(kept, "w/a", value));
+    }
+    poll();
+    CHECK(seen == stored());
+}
+
+TEST_CASE_FIXTURE(watch_fixture, "skip_through, revision of before a restore, changes nothing") {
+    const auto copied = kept.copy();
+    REQUIRE(test_support::put(kept, "w/a", "lost"));
+    poll();
+    const revision before = watch.position();
+    kept.restore(copied);
+    poll();
+    const revision after = watch.position();
+    CHECK(after > before);
+    watch.skip_through(revision{before.value() + 10});
+    CHECK(watch.position() == after);
+}
+
+TEST_CASE_FIXTURE(watch_fixture, "read back, restored between write and reading, stays unknown") {
+    REQUIRE(test_support::put(kept, "a", "old"));
+    const auto copied = kept.copy();
+    const revision expected = kept.get("a").value()->modified;
+    const std::uint64_t before = kept.calls();
+    kept.set_faults([before](std::uint64_t call) {
+        return call == before + 1 ? store_fault::lose_reply : store_fault::none;
+    });
+    REQUIRE_FALSE(kept.swap("a", expected, "mine", {}));
+    kept.restore(copied);
+    const std::uint64_t restored = kept.calls();
+    kept.set_faults([restored](std::uint64_t call) {
+        return call == restored + 1 ? store_fault::lose_reply : store_fault::none;
+    });
+    const auto outcome = store::swap_with_read_back(kept, "a", expected, "mine");
+    REQUIRE_FALSE(outcome);
+    CHECK(kept.get("a").value()->value == "old");
+}
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -18,7 +18,10 @@
 
     explicit gateway_fleet(std::size_t size) : gateway_fleet(size, {}) {}
     /// \param bounds of each gateway; the drain bound is set here
-    gateway_fleet(std::size_t size, const settings::installation_bounds& bounds) : bounds_(bounds) {
+    /// \param has_relays whether the gateways relay to each other what they read from the store
+    gateway_fleet(std::size_t size, const settings::installation_bounds& bounds,
+                  bool has_relays = false)
+        : bounds_(bounds), has_relays_(has_relays) {
         add_sample_services(stub);
         for (std::size_t index = 1; index <= size; ++index) {
             add_member("d" + std::to_string(index));
@@ -44,9 +47,20 @@
         REQUIRE(eventually([&] { return all_have_logged("\"" + id + "\""); }));
     }
 
+    /// Starts a gateway that can be cut off from the store, see platform_stub::sever_store().
+    void add_severable_gateway() {
+        add_member("d" + std::to_string(members_.size() + 1), stub.severable_store());
+    }
     /// Starts another gateway.
     void add_gateway() { add_member("d" + std::to_string(members_.size() + 1)); }
 
+    /// Waits until all gateways have noticed that the store is in a generation.
+    void await_restore(int generation) {
+        const std::string noticed =
+            R"("store.restored","generation":)" + std::to_string(generation);
+        REQUIRE(eventually([&] { return all_have_logged(noticed); }));
+    }
+
     /// Ends the gateway that is the home of the engines, without a notice to the others.
     void kill_home() {
         const auto home = std::find_if(members_.begin(), members_.end(), [](const auto& row) {
@@ -151,10 +165,15 @@
         }
     };
 
-    void add_member(const std::string& name) {
+    void add_member(const std::string& name) { add_member(name, stub.store()); }
+    void add_member(const std::string& name, const http::endpoint& store) {
         auto& added = *members_.emplace_back(std::make_unique<member>());
         set_addresses(added.configured, name, stub);
+        added.configured.store.address = http::to_string(store);
         added.configured.bounds = bounds_;
+        if (has_relays_) {
+            added.configured.registry = free_endpoint();
+        }
         added.configured.bounds.drain = 500ms;
         auto built = gateway::gateway_builder{}
                          .settings(added.configured)
@@ -187,6 +206,7 @@
     }
 
     settings::installation_bounds bounds_;
+    bool has_relays_;
     std::vector<std::unique_ptr<member>> members_;
     std::vector<std::thread> callers_;
     std::atomic<bool> is_load_stopped_{false};
--- a/test/support/memory_store.cpp
+++ b/test/support/memory_store.cpp
@@ -52,6 +52,26 @@
     compacted_ = revision_;
 }
 
+memory_store::store_copy memory_store::copy() const {
+    const std::lock_guard lock{mutex_};
+    return {entries_, leases_, revision_};
+}
+
+void memory_store::restore(const store_copy& copied) {
+    const std::lock_guard lock{mutex_};
+    generation_ = store::generation{generation_.value() + 1};
+    revision_ = copied.revision;
+    entries_ = copied.entries;
+    for (auto& [key, held] : entries_) {
+        held.created = stamp(store::counter_of(held.created));
+        held.modified = stamp(store::counter_of(held.modified));
+    }
+    leases_ = copied.leases;
+    history_.clear();
+    compacted_ = revision_;
+    changed_.notify_all();
+}
+
 std::chrono::milliseconds memory_store::last_wait() const {
     const std::lock_guard lock{mutex_};
     return last_wait_;
@@ -106,13 +126,28 @@
     ++revision_;
     change erased;
     erased.changed.key = key;
-    erased.changed.modified = revision{revision_};
+    erased.changed.modified = stamp(revision_);
     erased.is_erased = true;
     history_.push_back(std::move(erased));
     entries_.erase(key);
     changed_.notify_all();
 }
 
+revision memory_store::stamp(std::uint64_t counter) const {
+    return store::make_revision(generation_, counter);
+}
+
+bool memory_store::is_earlier(revision expected) const {
+    return !expected.empty() && store::generation_of(expected) != generation_;
+}
+
+/// Leases that were granted before a restore cannot be used; they end at their time.
+memory_store::lease_table::iterator memory_store::find_lease(lease_id lease) {
+    const auto found = leases_.find(lease.value());
+    const bool is_usable = found != leases_.end() && found->second.granted_in == generation_;
+    return is_usable ? found : leases_.end();
+}
+
 bool memory_store::is_at(const std::string& key, revision expected) const {
     const auto found = entries_.find(key);
     const revision actual = found == entries_.end() ? revision{} : found->second.modified;
@@ -121,7 +156,7 @@
 
 swap_outcome memory_store::refused(const std::string& key) const {
     swap_outcome outcome;
-    outcome.at = revision{revision_};
+    outcome.at = stamp(revision_);
     const auto found = entries_.find(key);
     if (found != entries_.end()) {
         outcome.current = found->second;
@@ -147,7 +182,7 @@
         return failure(errc::unavailable);
     }
     listing listed;
-    listed.at = revision{revision_};
+    listed.at = stamp(revision_);
     for (auto it = entries_.lower_bound(prefix); it != entries_.end(); ++it) {
         if (!begins_with(it->first, prefix)) {
             break;
@@ -165,21 +200,24 @@
     if (!takes_effect(fault)) {
         return failure(*write_error(fault));
     }
-    if (!lease.empty() && leases_.find(lease.value()) == leases_.end()) {
+    if (!lease.empty() && find_lease(lease) == leases_.end()) {
         return failure(errc::lease_expired);
     }
+    if (is_earlier(expected)) {
+        return failure(errc::restored);
+    }
     swap_outcome outcome = refused(key);
     if (is_at(key, expected)) {
         ++revision_;
         entry& written = entries_[key];
         written.key = key;
         written.value = value;
-        written.created = expected.empty() ? revision{revision_} : written.created;
-        written.modified = revision{revision_};
+        written.created = expected.empty() ? stamp(revision_) : written.created;
+        written.modified = stamp(revision_);
         written.lease = lease;
         history_.push_back({written, false});
         changed_.notify_all();
-        outcome = {true, revision{revision_}, std::nullopt};
+        outcome = {true, stamp(revision_), std::nullopt};
     }
     if (const auto error = write_error(fault)) {
         return failure(*error);
@@ -194,10 +232,13 @@
     if (!takes_effect(fault)) {
         return failure(*write_error(fault));
     }
+    if (is_earlier(expected)) {
+        return failure(errc::restored);
+    }
     swap_outcome outcome = refused(key);
     if (!expected.empty() && is_at(key, expected)) {
         erase_key(key);
-        outcome = {true, revision{revision_}, std::nullopt};
+        outcome = {true, stamp(revision_), std::nullopt};
     }
     if (const auto error = write_error(fault)) {
         return failure(*error);
@@ -213,7 +254,7 @@
         return failure(*error);
     }
     const std::uint64_t id = next_lease_++;
-    leases_[id] = {time_to_live, time_.now() + time_to_live};
+    leases_[id] = {time_to_live, time_.now() + time_to_live, generation_};
     return lease_id{id};
 }
 
@@ -224,7 +265,7 @@
     if (!takes_effect(fault)) {
         return failure(*write_error(fault));
     }
-    const auto found = leases_.find(lease.value());
+    const auto found = find_lease(lease);
     if (found == leases_.end()) {
         return failure(errc::lease_expired);
     }
@@ -242,7 +283,7 @@
     if (!takes_effect(fault)) {
         return failure(*write_error(fault));
     }
-    const auto found = leases_.find(lease.value());
+    const auto found = find_lease(lease);
     if (found != leases_.end()) {
         found->second.ends = time_.now();
         expire_leases();
@@ -255,7 +296,7 @@
 
 change_batch memory_store::changes_since(const std::string& prefix, revision from) const {
     change_batch batch;
-    batch.next = revision{revision_ + 1};
+    batch.next = stamp(revision_ + 1);
     for (const change& past : history_) {
         if (past.changed.modified >= from && begins_with(past.changed.key, prefix)) {
             batch.changes.push_back(past);
@@ -270,7 +311,7 @@
     if (begin_call() != store_fault::none) {
         return failure(errc::unavailable);
     }
-    if (from.value() <= compacted_) {
+    if (store::generation_of(from) != generation_ || store::counter_of(from) <= compacted_) {
         return failure(errc::compacted);
     }
     last_wait_ = wait;
--- a/test/support/memory_store.hpp
+++ b/test/support/memory_store.hpp
@@ -2,6 +2,7 @@
 
 #include "cicadahatch/core"
 #include "cicadahatch/store"
+#include "src/store/generation.hpp"
 
 #include <condition_variable>
 #include <deque>
@@ -21,7 +22,21 @@
 
 /// \brief A key-value service in this process, with faults on demand. Leases follow the clock.
 class memory_store : public store::key_value_store {
+    struct lease_row {
+        std::chrono::seconds time_to_live{0};
+        time_point ends;
+        store::generation granted_in;
+    };
+    using lease_table = std::map<std::uint64_t, lease_row>;
+
 public:
+    /// \brief The data of the store at one time.
+    struct store_copy {
+        std::map<std::string, store::entry> entries;
+        lease_table leases;
+        std::uint64_t revision = 0;
+    };
+
     explicit memory_store(const clock& time) : time_(time) {}
 
     /// \param chosen called for each call with its ordinal number; decides the call's fault
@@ -32,6 +47,10 @@
     [[nodiscard]] std::chrono::milliseconds last_wait() const;
     /// \brief Forgets history up to the present, so that older watches get errc::compacted.
     void compact();
+    [[nodiscard]] store_copy copy() const;
+    /// \brief Comes back from a copy, in the next generation. Revisions are counted from the
+    /// copy's.
+    void restore(const store_copy& copied);
     [[nodiscard]] std::uint64_t calls() const;
     [[nodiscard]] std::uint64_t writes() const;
     /// \returns the time left, or nothing if the lease has ended
@@ -51,15 +70,13 @@
                                                     std::chrono::milliseconds wait) override;
 
 private:
-    struct lease_row {
-        std::chrono::seconds time_to_live{0};
-        time_point ends;
-    };
-
     store_fault begin_call();
     void expire_leases();
     void erase_key(const std::string& key);
     [[nodiscard]] store::swap_outcome refused(const std::string& key) const;
+    [[nodiscard]] revision stamp(std::uint64_t counter) const;
+    [[nodiscard]] bool is_earlier(revision expected) const;
+    [[nodiscard]] lease_table::iterator find_lease(store::lease_id lease);
     [[nodiscard]] bool is_at(const std::string& key, revision expected) const;
     [[nodiscard]] store::change_batch changes_since(const std::string& prefix, revision from) const;
 
@@ -69,7 +86,8 @@
     std::function<store_fault(std::uint64_t)> faults_;
     std::map<std::string, store::entry> entries_;
     std::deque<store::change> history_;
-    std::map<std::uint64_t, lease_row> leases_;
+    lease_table leases_;
+    store::generation generation_;
     std::uint64_t revision_ = 1;
     std::uint64_t compacted_ = 0;
     std::uint64_t next_lease_ = 1;
--- a/test/support/platform_stub.cpp
+++ b/test/support/platform_stub.cpp
@@ -66,6 +66,14 @@
 /// connections are destroyed with the event loop.
 using socket_set = std::shared_ptr<std::set<tcp::socket*>>;
 
+/// The store's data, as far as a restore brings it back.
+struct store_data {
+    std::map<std::string, stored_item> items;
+    std::deque<json> history;
+    std::uint64_t revision = 1;
+    std::uint64_t next_lease = 1;
+};
+
 struct stub_engine {
     std::string id;
     std::string service;
@@ -101,12 +109,15 @@
 struct platform_stub::parts {
     asio::io_context loop{1};
     tcp::acceptor store_acceptor{loop};
+    tcp::acceptor severable_acceptor{loop};
+    bool is_severed = false; ///< used by the stub's thread only
+    socket_set severable_connections = std::make_shared<std::set<tcp::socket*>>();
     std::thread thread;
     mutable std::mutex mutex;
-    std::map<std::string, stored_item> items;
-    std::deque<json> history;
-    std::uint64_t revision = 1;
-    std::uint64_t next_lease = 1;
+    store_data data;
+    store_data copy;        ///< for a restore
+    std::string generation; ///< as stated in replies; empty: none
+    socket_set store_connections = std::make_shared<std::set<tcp::socket*>>();
     store_mode mode = store_mode::normal;
     std::map<std::string, std::unique_ptr<stub_engine>> engines;
     std::vector<received_request> seen;
@@ -121,18 +132,18 @@
 
     // The functions below are called with the mutex held.
     void put(const std::string& key, const std::string& value, std::uint64_t lease) {
-        ++revision;
-        stored_item& item = items[key];
-        item.created = item.created == 0 ? revision : item.created;
+        ++data.revision;
+        stored_item& item = data.items[key];
+        item.created = item.created == 0 ? data.revision : item.created;
         item.value = value;
-        item.revision = revision;
+        item.revision = data.revision;
         item.lease = lease;
-        history.push_back(to_json(key, item));
+        data.history.push_back(to_json(key, item));
     }
     void erase(const std::string& key) {
-        ++revision;
-        items.erase(key);
-        history.push_back({{"key", key}, {"revision", revision}, {"deleted", true}});
+        ++data.revision;
+        data.items.erase(key);
+        data.history.push_back({{"key", key}, {"revision", data.revision}, {"deleted", true}});
     }
     void write_entry(const stub_engine& engine) {
         const auto place = engine.acceptor->local_endpoint();
@@ -153,7 +164,7 @@
 
     json changes_after(const std::string& prefix, std::uint64_t after) {
         json events = json::array();
-        for (const json& event : history) {
+        for (const json& event : data.history) {
             const auto key = event.at("key").get<std::string>();
             if (event.at("revision").get<std::uint64_t>() > after && key.starts_with(prefix)) {
                 events.push_back(event);
@@ -164,12 +175,12 @@
 
     json range(const std::string& prefix) {
         json listed = json::array();
-        for (const auto& [key, item] : items) {
+        for (const auto& [key, item] : data.items) {
             if (key.starts_with(prefix)) {
                 listed.push_back(to_json(key, item));
             }
         }
-        return {{"items", listed}, {"truncated", false}, {"storeRevision", revision}};
+        return {{"items", listed}, {"truncated", false}, {"storeRevision", data.revision}};
     }
 
     /// \returns status and body
@@ -178,10 +189,10 @@
         bool is_met = true;
         for (const json& row : asked.value("expected", json::array())) {
             const auto key = row.at("key").get<std::string>();
-            const auto found = items.find(key);
-            const std::uint64_t at = found == items.end() ? 0 : found->second.revision;
+            const auto found = data.items.find(key);
+            const std::uint64_t at = found == data.items.end() ? 0 : found->second.revision;
             is_met = is_met && at == row.at("revision").get<std::uint64_t>();
-            if (found != items.end()) {
+            if (found != data.items.end()) {
                 current.push_back(to_json(key, found->second));
             }
         }
@@ -196,7 +207,7 @@
         for (const json& key : asked.value("remove", json::array())) {
             erase(key.get<std::string>());
         }
-        return {200U, {{"revision", revision}}};
+        return {200U, {{"revision", data.revision}}};
     }
 
     std::pair<unsigned, json> answer_store(const any_request& asked) {
@@ -211,7 +222,7 @@
         if (target.starts_with("/cicadahatch/kv-lease-end/")) {
             const std::uint64_t lease = std::stoull(target.substr(target.rfind('/') + 1));
             std::vector<std::string> ended;
-            for (const auto& [key, item] : items) {
+            for (const auto& [key, item] : data.items) {
                 if (item.lease == lease) {
                     ended.push_back(key);
                 }
@@ -223,10 +234,12 @@
         }
         if (target == "/cicadahatch/kv-lease") {
             const json body = json::parse(asked.body());
-            return {200U, {{"lease", next_lease++}, {"ttlMs", body.at("ttlMs")}}};
+            return {200U, {{"lease", data.next_lease++}, {"ttlMs", body.at("ttlMs")}}};
         }
         if (target.starts_with("/cicadahatch/kv-keep/")) {
-            return {200U, {{"ttlMs", 15000}}};
+            const std::uint64_t lease = std::stoull(target.substr(target.rfind('/') + 1));
+            const unsigned status = lease < data.next_lease ? 200U : 404U;
+            return {status, {{"ttlMs", 15000}}};
         }
         return {404U, json::object()};
     }
@@ -240,13 +253,13 @@
         while (true) {
             {
                 const std::lock_guard lock{mutex};
-                if (mode == store_mode::compacted) {
+                if (mode == store_mode::compacted || after > data.revision) {
                     co_return std::pair<unsigned, json>{410U, json::object()};
                 }
                 json events = changes_after(prefix, after);
                 if (!events.empty() || std::chrono::steady_clock::now() >= until) {
                     co_return std::pair<unsigned, json>{
-                        200U, {{"events", events}, {"storeRevision", revision}}};
+                        200U, {{"events", events}, {"storeRevision", data.revision}}};
                 }
             }
             pause.expires_after(2ms);
@@ -255,7 +268,16 @@
         }
     }
 
-    asio::awaitable<void> serve_store(tcp::socket socket) {
+    asio::awaitable<void> serve_severable_store(tcp::socket socket) {
+        if (is_severed) {
+            reset(socket);
+            co_return;
+        }
+        co_await serve_store(std::move(socket), severable_connections);
+    }
+
+    asio::awaitable<void> serve_store(tcp::socket socket, socket_set& open) {
+        const connection_entry entry{open, socket};
         boost::beast::flat_buffer buffer;
         while (true) {
             any_request asked;
@@ -298,6 +320,9 @@
             beast_http::response<beast_http::string_body> answer;
             answer.result(made.first);
             answer.version(11);
+            if (const std::string stated = stated_generation(); !stated.empty()) {
+                answer.set("Store-Era", stated);
+            }
             answer.body() = made.second.dump();
             answer.prepare_payload();
             co_await beast_http::async_write(socket, answer, capture_error(error));
@@ -316,6 +341,11 @@
         seen.push_back(std::move(row));
     }
 
+    std::string stated_generation() {
+        const std::lock_guard lock{mutex};
+        return generation;
+    }
+
     engine_script script_of(const stub_engine& engine) {
         const std::lock_guard lock{mutex};
         return engine.script;
@@ -388,6 +418,12 @@
         socket.close(ignored);
     }
 
+    static void reset_all(const std::set<tcp::socket*>& sockets) {
+        for (tcp::socket* socket : sockets) {
+            reset(*socket);
+        }
+    }
+
     asio::awaitable<void> answer_plain(tcp::socket& socket, const any_request& asked,
                                        engine_script script) {
         const std::string id = text(asked[attempt_field]);
@@ -628,9 +664,7 @@
         }
         const tcp::endpoint place = engine.acceptor->local_endpoint();
         engine.acceptor->close();
-        for (tcp::socket* socket : *engine.connections) {
-            reset(*socket);
-        }
+        reset_all(*engine.connections);
         {
             const std::lock_guard lock{mutex};
             crash_times.push_back(std::chrono::steady_clock::now());
@@ -686,7 +720,12 @@
     parts& own = *parts_;
     own.store_acceptor = std::move(*parts::listen(own.loop));
     own.accept(own.store_acceptor, [&own](tcp::socket socket) {
-        asio::co_spawn(own.loop, own.serve_store(std::move(socket)), asio::detached);
+        asio::co_spawn(own.loop, own.serve_store(std::move(socket), own.store_connections),
+                       asio::detached);
+    });
+    own.severable_acceptor = std::move(*parts::listen(own.loop));
+    own.accept(own.severable_acceptor, [&own](tcp::socket socket) {
+        asio::co_spawn(own.loop, own.serve_severable_store(std::move(socket)), asio::detached);
     });
     own.thread = std::thread([&own] { own.loop.run(); });
 }
@@ -749,7 +788,7 @@
 void platform_stub::expire_leases() {
     const std::lock_guard lock{parts_->mutex};
     std::vector<std::string> expired;
-    for (const auto& [key, item] : parts_->items) {
+    for (const auto& [key, item] : parts_->data.items) {
         if (item.lease != 0) {
             expired.push_back(key);
         }
@@ -769,6 +808,44 @@
     parts_->mode = mode;
 }
 
+void platform_stub::state_generation(const std::string& text) {
+    const std::lock_guard lock{parts_->mutex};
+    parts_->generation = text;
+}
+
+void platform_stub::copy_store() {
+    const std::lock_guard lock{parts_->mutex};
+    parts_->copy = parts_->data;
+    if (parts_->generation.empty()) {
+        parts_->generation = "1";
+    }
+}
+
+void platform_stub::restore_store() {
+    parts& own = *parts_;
+    const std::lock_guard lock{own.mutex};
+    own.data = own.copy;
+    own.generation = std::to_string(std::stoull(own.generation) + 1);
+    asio::post(own.loop, [&own] {
+        parts::reset_all(*own.store_connections);
+        parts::reset_all(*own.severable_connections);
+    });
+}
+
+http::endpoint platform_stub::severable_store() const {
+    return {"127.0.0.1", parts_->severable_acceptor.local_endpoint().port()};
+}
+
+void platform_stub::sever_store(bool is_severed) {
+    parts& own = *parts_;
+    asio::post(own.loop, [&own, is_severed] {
+        own.is_severed = is_severed;
+        if (is_severed) {
+            parts::reset_all(*own.severable_connections);
+        }
+    });
+}
+
 std::vector<received_request> platform_stub::seen() const {
     const std::lock_guard lock{parts_->mutex};
     return parts_->seen;
--- a/test/support/platform_stub.hpp
+++ b/test/support/platform_stub.hpp
@@ -105,6 +105,10 @@
     ~platform_stub();
 
     [[nodiscard]] http::endpoint store() const;
+    /// \returns another address of the store, from which clients can be cut off
+    [[nodiscard]] http::endpoint severable_store() const;
+    /// \brief Resets the connections to the severable address; new ones are reset as well.
+    void sever_store(bool is_severed);
 
     /// \brief Starts an engine and registers it.
     /// \param stage "prefill", "decode", or empty for a plain server
@@ -122,6 +126,14 @@
     /// \brief Writes any value, as another writer would.
     void put(const std::string& key, const std::string& value);
     void set_store_mode(store_mode mode);
+    /// \brief Keeps a copy of the store's data for restore_store(). From now on the store states
+    /// its generation.
+    void copy_store();
+    /// \brief Resets all connections of the store, which comes back from the copy: keys, leases and
+    /// revisions are those of the copy, and the generation is the next.
+    void restore_store();
+    /// \brief Has the store state this text as its generation; empty: none.
+    void state_generation(const std::string& text);
 
     [[nodiscard]] std::vector<received_request> seen() const;
     /// \returns the number of requests with a target prefix that an engine received; empty id: all
