Orders: wait for leases that a restore of the store has forgotten

A restore may lose the lease of an issuer that is cut off and goes on ordering until its lease ends on its own clock. Another daemon that wins the lease in the new generation had no reason to wait.

A lease won in a generation is now used for orders once the process has known that generation for the duration of a lease. Without a stated generation nothing changes.

--- a/src/gateway/order_lease_manager.cpp
+++ b/src/gateway/order_lease_manager.cpp
@@ -38,6 +38,12 @@
     state_changed_.notify_all();
 }
 
+void order_lease_manager::set_generation(store::generation current) {
+    const std::lock_guard lock{mutex_};
+    generation_ = current;
+    generation_since_ = time_.now();
+}
+
 bool order_lease_manager::request_permit(const cell_id& cell, const orders::order& order) {
     {
         const std::lock_guard lock{mutex_};
@@ -97,6 +103,10 @@
     if (!held.issuer.lease() && time_.now() < held.retry_at) {
         return;
     }
+    {
+        const std::lock_guard lock{mutex_};
+        held.issuer.set_generation(generation_, generation_since_);
+    }
     const std::error_code error = held.issuer.tick();
     if (error || !held.issuer.lease()) {
         held.retry_at = time_.now() + lease_retry_delay;
--- a/src/gateway/order_lease_manager.hpp
+++ b/src/gateway/order_lease_manager.hpp
@@ -40,6 +40,9 @@
     /// \brief Sets the cells whose leases are held. Leases of other cells are released.
     void hold(std::set<cell_id> cells);
 
+    /// \brief Records that the store is in a generation from now on.
+    void set_generation(store::generation current);
+
     /// \brief Requests a permit to send an order for a held cell. The handler is called once per
     /// accepted request: with a permit, or without one if no permit was available before the
     /// timeout, because another daemon holds the lease or the store does not respond.
@@ -73,6 +76,8 @@
     std::set<cell_id> desired_cells_;               ///< guarded by mutex_
     std::optional<permit_request> pending_request_; ///< guarded by mutex_
     bool is_closing_ = false;                       ///< guarded by mutex_
+    store::generation generation_;                  ///< guarded by mutex_
+    time_point generation_since_;                   ///< guarded by mutex_
     std::map<cell_id, held_cell> cells_;            ///< used by the worker thread only
     std::thread worker_; ///< last member: starts after the others are initialized
 };
--- a/src/orders/issuer.cpp
+++ b/src/orders/issuer.cpp
@@ -50,13 +50,26 @@
         return swapped ? std::error_code{} : swapped.error();
     }
     lease_ = issuer_lease{fencing_number{swapped->at.value()}, *granted, time_.now(),
-                          requested_at + limits_.lease};
+                          requested_at + limits_.lease, end_of_forgotten_leases(swapped->at)};
     renew_at_ = requested_at + limits_.lease / renewals_per_lease;
     LOG(INFO) << "orders: issuing for " << key_ << " with fencing number "
               << lease_->number.value();
     return {};
 }
 
+void issuer::set_generation(store::generation current, time_point known_since) {
+    generation_ = current;
+    generation_since_ = known_since;
+}
+
+time_point issuer::end_of_forgotten_leases(revision acquired_at) const {
+    const store::generation current = store::generation_of(acquired_at);
+    if (current.empty()) {
+        return {};
+    }
+    return (current == generation_ ? generation_since_ : time_.now()) + limits_.lease;
+}
+
 std::error_code issuer::renew() {
     const time_point requested_at = time_.now();
     if (requested_at < renew_at_) {
@@ -65,6 +78,7 @@
     const auto remaining = store_.keep_alive(lease_->store_lease);
     if (!remaining) {
         if (remaining.error() == store::errc::lease_expired) {
+            LOG(WARNING) << "orders: the store has no lease of " << key_ << " any more";
             lease_.reset();
         }
         return remaining.error();
--- a/src/orders/issuer.hpp
+++ b/src/orders/issuer.hpp
@@ -3,6 +3,7 @@
 #include "src/core/token_bucket.hpp"
 #include "src/orders/issuer_lease.hpp"
 #include "src/orders/order.hpp"
+#include "src/store/generation.hpp"
 #include "src/store/key_value_store.hpp"
 
 #include <optional>
@@ -32,6 +33,10 @@
     /// \returns the store's error, after which the caller should back off
     std::error_code tick();
 
+    /// \brief Records since when this process has known a generation of the store. A lease won in
+    /// it is not used for orders until leases of the generation before have ended.
+    void set_generation(store::generation current, time_point known_since);
+
     /// \brief Sets this cell's share of the weight store's rate.
     void set_loads_per_minute(double rate);
 
@@ -53,6 +58,7 @@
     std::error_code acquire();
     std::error_code renew();
     [[nodiscard]] bool try_reserve(const order& order);
+    [[nodiscard]] time_point end_of_forgotten_leases(revision acquired_at) const;
 
     store::key_value_store& store_;
     const clock& time_;
@@ -62,6 +68,8 @@
     token_bucket loads_;
     std::optional<issuer_lease> lease_;
     time_point renew_at_{};
+    store::generation generation_;
+    time_point generation_since_{};
 };
 
 } // namespace cicadahatch::orders
--- a/src/orders/issuer_lease.cpp
+++ b/src/orders/issuer_lease.cpp
@@ -13,7 +13,7 @@
 
 bool may_send(const issuer_lease& lease, const issuer_limits& limits, bool checks_fencing,
               time_point now) {
-    if (now >= send_deadline(lease, limits)) {
+    if (now >= send_deadline(lease, limits) || now < lease.earliest_send) {
         return false;
     }
     return checks_fencing || now >= earliest_unfenced_send(lease, limits);
--- a/src/orders/issuer_lease.hpp
+++ b/src/orders/issuer_lease.hpp
@@ -21,6 +21,8 @@
     store::lease_id store_lease;
     time_point acquired_at;
     time_point valid_until; ///< by this daemon's clock; the store's lease expires no earlier
+    /// By then the lease of an issuer that the store has forgotten in a restore has ended.
+    time_point earliest_send{};
 };
 
 /// \returns the deadline for writing an order under this lease
--- a/test/orders/fencing_invariant_test.cpp
+++ b/test/orders/fencing_invariant_test.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <doctest/doctest.h>
 #include <glog/logging.h>
+#include <numeric>
 
 // Explores every interleaving of the steps of two issuers of one cell with the advance of time. An
 // issuer that is not stepped while time advances models a suspended process.
@@ -29,18 +30,22 @@
 struct engine {
     bool checks_fencing = false;
     fencing_number highest;
+    std::string sender_of_highest;
     time_point busy_until{};
     bool is_violated = false;
 
-    void receive(fencing_number number, time_point now) {
+    void receive(const std::string& sender, fencing_number number, time_point now) {
         if (checks_fencing && number < highest) {
             return;
         }
         const bool is_other_issuer = number != highest && !highest.empty();
+        // Two issuers never use one number.
+        is_violated = is_violated || (number == highest && sender != sender_of_highest);
         // Orders of two issuers must not overlap on an engine that ignores fencing numbers, and an
         // older issuer's order must never follow a newer one's.
         is_violated = is_violated || number < highest;
         is_violated = is_violated || (!checks_fencing && is_other_issuer && now < busy_until);
+        sender_of_highest = number >= highest ? sender : sender_of_highest;
         highest = std::max(highest, number);
         busy_until = now + short_limits().max_order_duration;
     }
@@ -48,17 +53,18 @@
 
 /// A daemon that acquires the lease and sends an order in the two steps of an order_sender.
 struct daemon {
+    std::string name;
     issuer issuing;
     std::optional<time_point> connected_at; ///< set after the clock check, before the write
     fencing_number number;
 
-    daemon(store::key_value_store& store, const manual_clock& time, const std::string& name)
-        : issuing(store, time, cell_id{"cell"}, daemon_id{name}, short_limits()) {}
+    daemon(store::key_value_store& store, const manual_clock& time, const std::string& chosen)
+        : name(chosen), issuing(store, time, cell_id{"cell"}, daemon_id{name}, short_limits()) {}
 
     void step(engine& target, time_point now) {
         if (connected_at) {
             if (now - *connected_at < short_limits().connection_idle_timeout) {
-                target.receive(number, now);
+                target.receive(name, number, now);
             }
             connected_at.reset();
             return;
@@ -78,14 +84,18 @@
     std::size_t handovers = 0; ///< paths in which an order of the second issuer was executed too
 };
 
-/// Remaining steps of the first issuer, the second issuer and the clock.
-using step_counts = std::array<int, 3>;
+/// Remaining steps of the first issuer, the second issuer and the clock, and remaining restores of
+/// the store.
+using step_counts = std::array<int, 4>;
 constexpr std::size_t clock_actor = 2;
+constexpr std::size_t restore_actor = 3;
 
-/// One path: the first issuer has held the lease for a while, then the steps run in some order.
+/// One path: the first issuer has held the lease for a while, then the steps run in some order. The
+/// store comes back from a copy of before that lease.
 struct run {
     manual_clock time;
     test_support::memory_store store{time};
+    test_support::memory_store::store_copy copied = store.copy();
     engine target;
     daemon first{store, time, "a"};
     daemon second{store, time, "b"};
@@ -112,6 +122,8 @@
     void step(std::size_t actor) {
         if (actor == clock_actor) {
             advance_time();
+        } else if (actor == restore_actor) {
+            store.restore(copied);
         } else {
             (actor == 0 ? first : second).step(target, time.now());
         }
@@ -119,7 +131,7 @@
 };
 
 std::size_t pick_actor(test_support::choices& path, step_counts& remaining) {
-    std::array<std::size_t, 3> candidates{};
+    std::array<std::size_t, 4> candidates{};
     std::size_t count = 0;
     for (std::size_t actor = 0; actor < remaining.size(); ++actor) {
         if (remaining[actor] > 0) {
@@ -137,7 +149,7 @@
     do {
         run current{checks_fencing};
         step_counts remaining = steps;
-        while (remaining[0] + remaining[1] + remaining[2] > 0) {
+        while (std::accumulate(remaining.begin(), remaining.end(), 0) > 0) {
             current.step(pick_actor(path, remaining));
         }
         CHECK_MESSAGE(!current.target.is_violated, "fencing rule violated; path " << path.str());
@@ -154,7 +166,7 @@
 } // namespace
 
 TEST_CASE_FIXTURE(quiet_fixture, "issuers, engine ignores fencing numbers, orders never overlap") {
-    const outcome result = explore(false, {3, 4, 7});
+    const outcome result = explore(false, {3, 4, 7, 0});
     MESSAGE(result.paths << " paths, " << result.handovers
                          << " with an order of the second issuer");
     CHECK(result.handovers > 0);
@@ -162,7 +174,23 @@
 
 TEST_CASE_FIXTURE(quiet_fixture,
                   "issuers, engine checks fencing numbers, no stale order follows a newer one") {
-    const outcome result = explore(true, {4, 4, 4});
+    const outcome result = explore(true, {4, 4, 4, 0});
+    MESSAGE(result.paths << " paths, " << result.handovers
+                         << " with an order of the second issuer");
+    CHECK(result.handovers > 0);
+}
+
+TEST_CASE_FIXTURE(quiet_fixture,
+                  "issuers, store restored, engine ignores fencing numbers, orders never overlap") {
+    const outcome result = explore(false, {2, 3, 7, 1});
+    MESSAGE(result.paths << " paths, " << result.handovers
+                         << " with an order of the second issuer");
+    CHECK(result.handovers > 0);
+}
+
+TEST_CASE_FIXTURE(quiet_fixture, "issuers, store restored, engine checks fencing numbers, no stale "
+                                 "order follows a newer one") {
+    const outcome result = explore(true, {2, 4, 4, 1});
     MESSAGE(result.paths << " paths, " << result.handovers
                          << " with an order of the second issuer");
     CHECK(result.handovers > 0);
--- a/test/orders/issuer_test.cpp
+++ b/test/orders/issuer_test.cpp
@@ -51,6 +51,18 @@
     }
 };
 
+/// The first issuer holds the lease; a copy of the store is of before.
+struct restore_fixture : issuer_fixture {
+    const issuer_limits limits{};
+    test_support::memory_store::store_copy copied = store.copy();
+
+    restore_fixture() {
+        REQUIRE_FALSE(first.tick());
+        REQUIRE(first.lease());
+        REQUIRE(first.admit(load("e")));
+    }
+};
+
 } // namespace
 
 TEST_CASE_FIXTURE(issuer_fixture,
@@ -168,3 +180,70 @@
     CHECK(reconcile(desired, {}).empty());
     CHECK(reconcile(desired, {{desired[0].id, backend_role::decode, {}, "", {}, true}}).empty());
 }
+
+// Guards against two daemons that order under one number, or in turns, after a restore.
+TEST_CASE_FIXTURE(restore_fixture, "issuer, lease won after a restore, has a greater number") {
+    store.restore(copied);
+    second.set_generation(store::generation{1}, time.now());
+    REQUIRE_FALSE(second.tick());
+    REQUIRE(second.lease());
+    CHECK(second.lease()->number > first.lease()->number);
+}
+
+TEST_CASE_FIXTURE(restore_fixture,
+                  "issuer, lease won after a restore, waits until a forgotten lease has ended") {
+    store.restore(copied);
+    second.set_generation(store::generation{1}, time.now());
+    REQUIRE_FALSE(second.tick());
+    // The holder of before the restore is cut off from the store and hears nothing.
+    bool has_overlap = false;
+    while (!second.admit(load("e"))) {
+        has_overlap = has_overlap || !second.lease();
+        time.advance(500ms);
+        REQUIRE_FALSE(second.tick());
+    }
+    CHECK_FALSE(has_overlap);
+    CHECK_FALSE(first.admit(load("e")));
+}
+
+TEST_CASE_FIXTURE(restore_fixture,
+                  "issuer, generation not known before the lease is won, waits for a whole lease") {
+    store.restore(copied);
+    REQUIRE_FALSE(second.tick());
+    time.advance(limits.lease - 1s);
+    REQUIRE_FALSE(second.tick());
+    CHECK_FALSE(second.admit(load("e")));
+    time.advance(1s);
+    REQUIRE_FALSE(second.tick());
+    CHECK(second.admit(load("e")));
+}
+
+TEST_CASE_FIXTURE(restore_fixture, "issuer, generation known for a whole lease, orders at once") {
+    store.restore(copied);
+    const time_point restored_at = time.now();
+    time.advance(limits.lease);
+    second.set_generation(store::generation{1}, restored_at);
+    REQUIRE_FALSE(second.tick());
+    CHECK(second.admit(load("e")));
+}
+
+TEST_CASE_FIXTURE(restore_fixture, "issuer, lease lost in a restore, gives it up at its renewal") {
+    store.restore(copied);
+    time.advance(limits.lease / renewals_per_lease);
+    CHECK(first.tick() == store::errc::lease_expired);
+    CHECK_FALSE(first.lease());
+    CHECK_FALSE(first.admit(load("e")));
+}
+
+TEST_CASE_FIXTURE(restore_fixture, "issuer, two restores in a row, numbers keep growing") {
+    store.restore(copied);
+    REQUIRE_FALSE(second.tick());
+    REQUIRE(second.lease());
+    const fencing_number middle = second.lease()->number;
+    store.restore(copied);
+    issuer third{store, time, cell_id{"cell"}, daemon_id{"c"}, limits};
+    REQUIRE_FALSE(third.tick());
+    REQUIRE(third.lease());
+    CHECK(middle > first.lease()->number);
+    CHECK(third.lease()->number > middle);
+}
