Discovery: backend servers that an older copy of the store shows as serving

An older copy may show a server as serving that has been seen draining, or that has been removed. One known to drain keeps draining until its process restarts. One whose entry had been removed is held until its entry would have lapsed, and used if it is still there then. An earlier process than the known one is ignored.

--- a/src/discovery/directory.cpp
+++ b/src/discovery/directory.cpp
@@ -9,6 +9,9 @@
 /// Several times the number of backend servers in the largest deployment.
 constexpr std::size_t max_leaving_ids = 4'096;
 
+/// Longer than a copy of the store is old when the store comes back from it.
+constexpr std::chrono::seconds departure_memory{60};
+
 change_kind classify_change(const directory_entry& before, const backend& now) {
     if (before.registration.started != now.started || before.registration.address != now.address) {
         return change_kind::restarted;
@@ -49,13 +52,42 @@
     return true;
 }
 
+bool directory::has_departed(const backend& registration) const {
+    const auto found = departed_.find(registration.id);
+    return found != departed_.end() && registration.started <= found->second.started;
+}
+
 void directory::upsert(const backend& registration, std::vector<directory_change>& changes) {
+    departed_.erase(registration.id);
+    put(registration, {}, changes);
+}
+
+void directory::begin_restore(std::vector<directory_change>& changes) {
+    for (const directory_entry& entry : entries_.rows()) {
+        if (entry.registration.is_draining && entry.held_until == time_point{}) {
+            static_cast<void>(mark_leaving(entry.id, entry.registration.started, changes));
+        }
+    }
+}
+
+void directory::upsert_restored(const backend& registration, time_point usable_at,
+                                std::vector<directory_change>& changes) {
+    const directory_entry* known = entries_.find(registration.id);
+    if (known != nullptr && registration.started < known->registration.started) {
+        return;
+    }
+    const bool is_held = has_departed(registration) && !registration.is_draining;
+    put(registration, is_held ? usable_at : time_point{}, changes);
+}
+
+void directory::put(const backend& registration, time_point held_until,
+                    std::vector<directory_change>& changes) {
     backend current = registration;
-    current.is_draining =
-        registration.is_draining || is_leaving(registration.id, registration.started);
+    current.is_draining = registration.is_draining || held_until != time_point{} ||
+                          is_leaving(registration.id, registration.started);
     directory_entry* known = entries_.find(current.id);
     if (known == nullptr) {
-        entries_.insert({current.id, current, {}});
+        entries_.insert({current.id, current, {}, held_until});
         changes.push_back({change_kind::added, current.id});
         return;
     }
@@ -65,6 +97,7 @@
     }
     known->registration = current;
     known->expires_at = {};
+    known->held_until = held_until;
 }
 
 void directory::remove(const backend_id& id, time_point grace_ends_at, time_point now,
@@ -74,8 +107,7 @@
         return;
     }
     if (grace_ends_at <= now) {
-        entries_.erase(id);
-        changes.push_back({change_kind::gone, id});
+        erase(id, now, changes);
         return;
     }
     if (known->expires_at == time_point{}) {
@@ -84,17 +116,32 @@
     }
 }
 
+void directory::erase(const backend_id& id, time_point now,
+                      std::vector<directory_change>& changes) {
+    departed_[id] = {entries_.find(id)->registration.started, now};
+    entries_.erase(id);
+    changes.push_back({change_kind::gone, id});
+}
+
 void directory::expire(time_point now, std::vector<directory_change>& changes) {
     std::vector<backend_id> expired;
+    std::vector<backend> released;
     for (const directory_entry& entry : entries_.rows()) {
         if (entry.expires_at != time_point{} && entry.expires_at <= now) {
             expired.push_back(entry.id);
+        } else if (entry.held_until != time_point{} && entry.held_until <= now) {
+            released.push_back(entry.registration);
         }
     }
     for (const backend_id& id : expired) {
-        entries_.erase(id);
-        changes.push_back({change_kind::gone, id});
+        erase(id, now, changes);
+    }
+    for (backend& usable : released) {
+        usable.is_draining = false;
+        upsert(usable, changes);
     }
+    std::erase_if(departed_,
+                  [now](const auto& row) { return now - row.second.at >= departure_memory; });
 }
 
 const backend* directory::find(const backend_id& id) const {
--- a/test/discovery/directory_test.cpp
+++ b/test/discovery/directory_test.cpp
@@ -10,6 +10,9 @@
 using namespace cicadahatch::discovery;
 using change_kind = directory_change::change_kind;
 
+/// Time after a restore in which entries of processes that have ended lapse.
+constexpr auto hold = 3s;
+
 struct directory_fixture {
     manual_clock time;
     discovery::directory directory;
@@ -26,6 +29,13 @@
     void remove(const std::string& id, duration grace_period) {
         directory.remove(backend_id{id}, time.now() + grace_period, time.now(), changes);
     }
+    /// Adds the entries of an older copy of the store.
+    void restore(const std::vector<backend>& copied) {
+        directory.begin_restore(changes);
+        for (const backend& registered : copied) {
+            directory.upsert_restored(registered, time.now() + hold, changes);
+        }
+    }
     [[nodiscard]] std::size_t available() const {
         return directory.available_backends(service_id{"s"}).size();
     }
@@ -120,3 +130,75 @@
     upsert(registration("a", 2));
     CHECK(available() == 0);
 }
+
+// Guards against new requests to a process that an older copy of the store shows as serving.
+TEST_CASE_FIXTURE(directory_fixture, "upsert_restored, process known to drain, keeps draining") {
+    backend draining = registration("a");
+    draining.is_draining = true;
+    upsert(draining);
+    restore({registration("a")});
+    CHECK(available() == 0);
+    upsert(registration("a"));
+    CHECK(available() == 0);
+    upsert(registration("a", 2));
+    CHECK(available() == 1);
+}
+
+TEST_CASE_FIXTURE(directory_fixture,
+                  "upsert_restored, process whose entry had been removed, is held until its entry "
+                  "would have lapsed") {
+    upsert(registration("a"));
+    remove("a", 0s);
+    restore({registration("a")});
+    CHECK(available() == 0);
+    time.advance(hold - 1ms);
+    directory.expire(time.now(), changes);
+    CHECK(available() == 0);
+    time.advance(1ms);
+    directory.expire(time.now(), changes);
+    CHECK(available() == 1);
+}
+
+TEST_CASE_FIXTURE(directory_fixture,
+                  "upsert_restored, twice for a process whose entry had been removed, holds it") {
+    upsert(registration("a"));
+    remove("a", 0s);
+    restore({registration("a")});
+    remove("a", 0s);
+    restore({registration("a")});
+    CHECK(available() == 0);
+}
+
+TEST_CASE_FIXTURE(directory_fixture,
+                  "upsert, entry held after a restore is written again, is used") {
+    upsert(registration("a"));
+    remove("a", 0s);
+    restore({registration("a")});
+    upsert(registration("a"));
+    CHECK(available() == 1);
+}
+
+TEST_CASE_FIXTURE(directory_fixture, "upsert_restored, later process under the same id, is used") {
+    upsert(registration("a", 1));
+    remove("a", 0s);
+    restore({registration("a", 2)});
+    CHECK(available() == 1);
+}
+
+TEST_CASE_FIXTURE(directory_fixture,
+                  "upsert_restored, earlier process than the known, is ignored") {
+    upsert(registration("a", 2));
+    restore({registration("a", 1)});
+    CHECK(directory.find(backend_id{"a"})->started == incarnation{2});
+    CHECK(available() == 1);
+}
+
+TEST_CASE_FIXTURE(directory_fixture,
+                  "upsert_restored, entry removed long before the restore, is used") {
+    upsert(registration("a"));
+    remove("a", 0s);
+    time.advance(61s);
+    directory.expire(time.now(), changes);
+    restore({registration("a")});
+    CHECK(available() == 1);
+}
