Gateway: follow a store that comes back from an older copy

The follower recognises the first listing of a generation: entries missing in it may return within the grace period, the configuration is not confirmed as complete until the stabilization bound has passed, and the daemon registers again within a second, spread by name. Deltas of an earlier generation are ignored, those of a later one are a gap.

A daemon that starts after a restore reads only the copy. Daemons whose newest configuration the store has lost pass it on over the connections on which they relay the registry, in both directions.

--- a/src/discovery/follower.cpp
+++ b/src/discovery/follower.cpp
@@ -1,5 +1,6 @@
 #include "src/discovery/follower.hpp"
 
+#include "src/core/hash.hpp"
 #include "src/store/error.hpp"
 
 #include <algorithm>
@@ -13,6 +14,9 @@
 /// Separates address, failure domain and registry address in a daemon's entry.
 constexpr char separator = ' ';
 
+/// The registrations of all daemons are renewed within this time after a restore.
+constexpr std::chrono::milliseconds restore_renewal_spread{1000};
+
 std::string to_value(const registered_daemon& daemon) {
     std::string value = http::to_string(daemon.address) + separator + daemon.domain.str();
     if (daemon.registry_address) {
@@ -47,6 +51,10 @@
            !update.present.empty() || !update.absent.empty() || !update.unreadable.empty();
 }
 
+bool is_restored(revision before, revision after) {
+    return !before.empty() && store::generation_of(after) > store::generation_of(before);
+}
+
 } // namespace
 
 follower::follower(store::key_value_store& store, registry_schema schema, follower_options options,
@@ -61,6 +69,7 @@
             update.unreadable.push_back(entry.key);
         } else if (!update.configuration || update.configuration->version < decoded->version) {
             update.configuration = std::move(decoded);
+            update.configuration_entry = entry;
         }
         return;
     }
@@ -149,6 +158,9 @@
     if (!delta) {
         return complete({});
     }
+    if (store::generation_of(delta->through) < store::generation_of(watch_.position())) {
+        return complete({}); // The relay has not noticed the restore yet.
+    }
     if (delta->after > watch_.position()) {
         return poll_store(std::chrono::milliseconds{0});
     }
@@ -170,7 +182,7 @@
 result<registry_update> follower::poll_store(std::chrono::milliseconds wait) {
     const revision before = watch_.position();
     const time_point called_at = time_.now();
-    const std::optional<time_point> complete_as_of =
+    std::optional<time_point> complete_as_of =
         lease_time_ == nullptr ? std::nullopt : std::optional{lease_time_->now()};
     // The first poll after an outage returns at once: entries that are removed later did not lapse
     // in it.
@@ -180,16 +192,50 @@
         return tl::unexpected(polled.error());
     }
     const bool has_lapsed_entries = is_unreachable_ && may_have_missed_outage();
-    const time_point grace_ends_at = has_lapsed_entries ? outage_grace_end() : time_point{};
+    time_point grace_ends_at = has_lapsed_entries ? outage_grace_end() : time_point{};
+    std::optional<store_restore> restored;
+    if (is_restored(before, watch_.position())) {
+        grace_ends_at = restore_grace_end();
+        restored = record_restore(before);
+    }
+    record_generation(before);
+    if (called_at < unconfirmed_until_) {
+        complete_as_of.reset();
+    }
     record_success();
     publish_delta(before, *polled, grace_ends_at, complete_as_of);
     registry_update update =
         polled->is_whole ? decode_snapshot(polled->entries) : decode_changes(polled->changes);
     update.grace_ends_at = grace_ends_at;
     update.complete_as_of = complete_as_of;
+    update.restored = restored;
     return complete(std::move(update));
 }
 
+/// Lost registrations are written again, lost versions of the configuration published again.
+store_restore follower::record_restore(revision before) {
+    const time_point now = time_.now();
+    unconfirmed_until_ = now + options_.stabilization;
+    const auto spread = static_cast<std::uint64_t>(restore_renewal_spread.count());
+    const std::chrono::milliseconds delay{stable_hash(self_.id.str()) % spread};
+    next_renewal_ = std::min(next_renewal_, now + delay);
+    return {before, watch_.position(), now + options_.stabilization};
+}
+
+/// The store was back after the last successful poll and the last failed call.
+time_point follower::restore_grace_end() const {
+    const time_point back_after = std::max(last_read_at_, failed_call_at_);
+    return std::min(time_.now() + options_.grace_period, back_after + options_.stabilization);
+}
+
+void follower::record_generation(revision before) {
+    const store::generation current = store::generation_of(watch_.position());
+    const bool is_known = !before.empty() && store::generation_of(before) == current;
+    if (on_generation_ && !is_known) {
+        on_generation_(current);
+    }
+}
+
 registry_update follower::complete(registry_update update) const {
     if (update.has_daemon_list) {
         for (const auto& [key, daemon] : daemons_) {
--- a/src/discovery/follower.hpp
+++ b/src/discovery/follower.hpp
@@ -4,6 +4,7 @@
 #include "src/discovery/backend.hpp"
 #include "src/discovery/registry_feed.hpp"
 #include "src/routing/route.hpp"
+#include "src/store/generation.hpp"
 #include "src/store/key_value_store.hpp"
 #include "src/store/resuming_watch.hpp"
 
@@ -38,9 +39,19 @@
     friend bool operator==(const registered_daemon&, const registered_daemon&) = default;
 };
 
+/// \brief The store has come back from an older copy of its data.
+struct store_restore {
+    revision before; ///< up to which this daemon had followed the store
+    revision after;  ///< of the first listing
+    /// When entries of that listing may be used that this daemon had seen removed. Those of backend
+    /// servers that are gone lapse before.
+    time_point removed_usable_at;
+};
+
 /// \brief The decoded changes of one poll.
 struct registry_update {
     std::optional<routing::configuration> configuration;
+    store::entry configuration_entry; ///< of the configuration, as stored
     std::vector<backend> present;
     std::vector<backend_id> absent;
     std::vector<std::string> unreadable;    ///< keys of malformed entries
@@ -49,6 +60,7 @@
     std::vector<registered_daemon> daemons; ///< complete list, if it has changed
     time_point grace_ends_at; ///< absent backend servers are kept until then; the epoch: not kept
     bool is_relayed = false;  ///< read from the store by another daemon
+    std::optional<store_restore> restored; ///< the snapshot is the first after a restore
     /// Every version of the configuration accepted before this time is known; empty: no new time.
     std::optional<time_point> complete_as_of{};
 };
@@ -85,6 +97,7 @@
     using status_handler = std::function<void(const store_status&)>;
     using delta_handler = std::function<void(store_delta)>;
     using confirmation_handler = std::function<void(time_point complete_as_of)>;
+    using generation_handler = std::function<void(store::generation)>;
 
     /// \param store,time outlive this object
     follower(store::key_value_store& store, registry_schema schema, follower_options options,
@@ -106,6 +119,9 @@
         on_confirmation_ = std::move(handler);
     }
 
+    /// \brief Sets the handler of each generation of the store, the first included.
+    void on_generation(generation_handler handler) { on_generation_ = std::move(handler); }
+
     /// \brief Polls until stop() is called.
     void run(const update_handler& on_update, const status_handler& on_status);
 
@@ -125,6 +141,9 @@
 
 private:
     [[nodiscard]] result<registry_update> poll_store(std::chrono::milliseconds wait);
+    void record_generation(revision before);
+    [[nodiscard]] store_restore record_restore(revision before);
+    [[nodiscard]] time_point restore_grace_end() const;
     [[nodiscard]] result<registry_update> poll_feed();
     [[nodiscard]] registry_update complete(registry_update update) const;
     void publish_delta(revision before, const store::watch_update& polled, time_point grace_ends_at,
@@ -149,11 +168,13 @@
     registry_feed* feed_ = nullptr; ///< null: this daemon always reads the store itself
     delta_handler on_delta_;
     confirmation_handler on_confirmation_;
+    generation_handler on_generation_;
     const clock* lease_time_ = nullptr; ///< null: the age of the configuration is not measured
     std::map<std::string, registered_daemon> daemons_; ///< by key
     bool is_unreachable_ = false;
-    time_point failed_call_at_; ///< start of the last call of the store that failed
-    time_point last_read_at_;   ///< end of the last successful poll of the store or the feed
+    time_point failed_call_at_;    ///< start of the last call of the store that failed
+    time_point last_read_at_;      ///< end of the last successful poll of the store or the feed
+    time_point unconfirmed_until_; ///< the configuration may lack versions that a restore has lost
     store::lease_id lease_;
     time_point next_renewal_;
     std::atomic<bool> is_stopping_{false};
--- a/src/gateway/constants.hpp
+++ b/src/gateway/constants.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 
 namespace cicadahatch::gateway {
 
@@ -71,6 +72,10 @@
 inline constexpr std::chrono::seconds engine_drain_time{10};
 inline constexpr int role_change_allowance = 2;
 
+/// Maximum size of the changes of the store in one message to other daemons. With a hundred slow
+/// subscribers they take an eighth of the memory of the smallest VMs.
+inline constexpr std::size_t max_published_bytes = 96UL * 1024;
+
 /// Period of maintenance that no event triggers.
 inline constexpr std::chrono::milliseconds maintenance_period{100};
 
--- a/src/gateway/internal/gateway_daemon_impl.cpp
+++ b/src/gateway/internal/gateway_daemon_impl.cpp
@@ -136,6 +136,10 @@
     state_.memory.limit = configured_.limits.memory_mb * bytes_per_mb / caller_memory_divisor;
     state_.placements = &placements_;
     state_.usage = &usage_;
+    publisher_.on_configuration(
+        [this](const store::entry& entry) { on_passed_configuration(entry); });
+    subscriber_.on_configuration(
+        [this](const store::entry& entry) { on_passed_configuration(entry); });
     homes_.add_user(placements_);
     homes_.add_user(usage_);
     if (configured_.bounds.revocation > 0ms) {
@@ -219,6 +223,11 @@
             asio::post(loop_, [this, complete_as_of] { on_confirmation(complete_as_of); });
         });
     }
+    follower_->on_generation([this](store::generation current) {
+        if (lease_manager_ != nullptr) {
+            lease_manager_->set_generation(current);
+        }
+    });
     follower_->on_delta([this](discovery::store_delta delta) {
         asio::post(loop_, [this, delta = std::move(delta)] { publisher_.publish(delta); });
     });
@@ -485,9 +494,28 @@
         });
 }
 
+void gateway_daemon::impl::log_restore(const discovery::store_restore& restored) {
+    log_.write(weight::notable, "store.restored",
+               {{"generation", store::generation_of(restored.after).value()},
+                {"revision", store::counter_of(restored.after)},
+                {"generation_before", store::generation_of(restored.before).value()},
+                {"revision_before", store::counter_of(restored.before)},
+                {"version", state_.table ? state_.table->version() : 0}});
+    metric_values_
+        .counter_of(metrics::metric_name{"cicadahatch_store_restores_total"},
+                    "Returns of the store from an older copy that this daemon has noticed")
+        .add();
+}
+
 void gateway_daemon::impl::on_update(discovery::registry_update update) {
+    if (update.restored) {
+        log_restore(*update.restored);
+    }
     if (update.configuration) {
+        lost_configuration_.record_stored(update.configuration_entry,
+                                          update.configuration->version);
         on_configuration(*update.configuration);
+        pass_on_lost_configuration();
     }
     on_backends(update);
     for (const std::string& key : update.unreadable) {
@@ -528,6 +556,29 @@
     }
 }
 
+void gateway_daemon::impl::on_passed_configuration(const store::entry& entry) {
+    auto decoded = binding_.entries.read_configuration(entry);
+    if (!decoded) {
+        log_.write(weight::notable, "configuration.unreadable", {{"key", entry.key}});
+        return;
+    }
+    lost_configuration_.record_received(entry, decoded->version);
+    on_configuration(std::move(*decoded));
+    pass_on_lost_configuration();
+    log_readiness_change();
+}
+
+void gateway_daemon::impl::pass_on_lost_configuration() {
+    const std::uint64_t version = lost_configuration_.version();
+    if (version == passed_on_version_) {
+        return;
+    }
+    passed_on_version_ = version;
+    publisher_.pass_on(lost_configuration_.find());
+    subscriber_.pass_on(lost_configuration_.find());
+    log_.write(weight::notable, "configuration.lost", {{"version", version}});
+}
+
 void gateway_daemon::impl::on_confirmation(time_point complete_as_of) {
     discovery::confirm(state_.configuration_age, complete_as_of);
     log_configuration_age();
@@ -549,8 +600,15 @@
 void gateway_daemon::impl::on_backends(const discovery::registry_update& update) {
     const time_point now = time_.now();
     std::vector<discovery::directory_change> changes;
+    if (update.restored) {
+        state_.backends.begin_restore(changes);
+    }
     for (const discovery::backend& present : update.present) {
-        state_.backends.upsert(present, changes);
+        if (update.restored) {
+            state_.backends.upsert_restored(present, update.restored->removed_usable_at, changes);
+        } else {
+            state_.backends.upsert(present, changes);
+        }
     }
     std::vector<backend_id> absent = update.absent;
     if (update.is_snapshot) {
--- a/src/gateway/internal/gateway_daemon_impl.hpp
+++ b/src/gateway/internal/gateway_daemon_impl.hpp
@@ -7,6 +7,7 @@
 #include "src/gateway/home_connections.hpp"
 #include "src/gateway/home_server.hpp"
 #include "src/gateway/listener.hpp"
+#include "src/gateway/lost_configuration.hpp"
 #include "src/gateway/order_lease_manager.hpp"
 #include "src/gateway/placement_client.hpp"
 #include "src/gateway/registry_publisher.hpp"
@@ -59,7 +60,10 @@
     void tick_registry();
     void follow();
     void on_update(discovery::registry_update update);
+    void log_restore(const discovery::store_restore& restored);
     void on_configuration(routing::configuration accepted);
+    void on_passed_configuration(const store::entry& entry);
+    void pass_on_lost_configuration();
     void on_confirmation(time_point complete_as_of);
     void log_configuration_age();
     void on_backends(const discovery::registry_update& update);
@@ -85,6 +89,8 @@
     discovery::registry_feed feed_;
     registry_publisher publisher_;
     registry_subscriber subscriber_;
+    lost_configuration lost_configuration_;
+    std::uint64_t passed_on_version_ = 0; ///< of the lost configuration; zero: none
     listener caller_listener_;
     listener readiness_listener_;
     listener metrics_listener_;
--- a/src/gateway/registry_messages.cpp
+++ b/src/gateway/registry_messages.cpp
@@ -1,15 +1,13 @@
 #include "src/gateway/registry_messages.hpp"
 
+#include "src/gateway/constants.hpp"
+
 #include <cstddef>
 
 namespace cicadahatch::gateway {
 
 namespace {
 
-/// Maximum size of the changes in one message. With a hundred slow subscribers they take an eighth
-/// of the memory of the smallest VMs.
-constexpr std::size_t max_published_bytes = 96UL * 1024;
-
 std::size_t bytes_of(const std::vector<store::change>& changes) {
     std::size_t bytes = 0;
     for (const store::change& row : changes) {
@@ -52,4 +50,20 @@
     return delta;
 }
 
+rpc::configuration_shard to_message(const store::entry& configuration) {
+    rpc::configuration_shard message;
+    message.accepted = configuration.modified;
+    message.name = configuration.key;
+    message.value = configuration.value;
+    return message;
+}
+
+store::entry to_entry(const rpc::configuration_shard& message) {
+    store::entry entry;
+    entry.key = message.name;
+    entry.value = message.value;
+    entry.modified = message.accepted;
+    return entry;
+}
+
 } // namespace cicadahatch::gateway
--- a/src/gateway/registry_messages.hpp
+++ b/src/gateway/registry_messages.hpp
@@ -11,4 +11,9 @@
 
 [[nodiscard]] discovery::store_delta to_delta(const rpc::registry_look& message);
 
+/// \returns the message that passes on a configuration which the store has lost
+[[nodiscard]] rpc::configuration_shard to_message(const store::entry& configuration);
+
+[[nodiscard]] store::entry to_entry(const rpc::configuration_shard& message);
+
 } // namespace cicadahatch::gateway
--- a/src/gateway/registry_publisher.cpp
+++ b/src/gateway/registry_publisher.cpp
@@ -32,14 +32,28 @@
     const auto channel = std::make_shared<peer_channel>(loop_, time_);
     channel->on_messages([this, from = channel.get()](const daemon_id& /*peer*/,
                                                       const std::vector<rpc::message>& received) {
-        record_stamp(from, received);
+        on_messages(from, received);
     });
     subscribers_.push_back({channel, std::nullopt});
     channel->accept(std::move(socket));
+    if (passed_on_) {
+        channel->send({*passed_on_});
+    }
+}
+
+void registry_publisher::pass_on(const store::entry* configuration) {
+    passed_on_.reset();
+    if (configuration == nullptr) {
+        return;
+    }
+    passed_on_ = to_message(*configuration);
+    for (const subscriber& row : subscribers_) {
+        row.channel->send({*passed_on_});
+    }
 }
 
-void registry_publisher::record_stamp(const peer_channel* channel,
-                                      const std::vector<rpc::message>& received) {
+void registry_publisher::on_messages(const peer_channel* channel,
+                                     const std::vector<rpc::message>& received) {
     const auto sender =
         std::find_if(subscribers_.begin(), subscribers_.end(),
                      [channel](const subscriber& row) { return row.channel.get() == channel; });
@@ -49,6 +63,8 @@
     for (const rpc::message& message : received) {
         if (const auto* ping = std::get_if<rpc::registry_ping>(&message)) {
             sender->stamp = ping->stamp;
+        } else if (const auto* passed_on = std::get_if<rpc::configuration_shard>(&message)) {
+            on_configuration_(to_entry(*passed_on));
         }
     }
 }
--- a/src/gateway/registry_publisher.hpp
+++ b/src/gateway/registry_publisher.hpp
@@ -7,6 +7,7 @@
 #include "src/gateway/peer_channel.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -22,11 +23,20 @@
     registry_publisher(forwarding::asio::io_context& loop, const clock& time,
                        const clock& lease_time);
 
+    using configuration_handler = std::function<void(const store::entry& entry)>;
+
+    /// \brief Sets the handler of configurations that subscribers pass on.
+    void on_configuration(configuration_handler handler) { on_configuration_ = std::move(handler); }
+
     [[nodiscard]] result<void> open(const http::endpoint& place);
 
     /// \brief Disconnects all subscribers, so that they choose other sources.
     void close();
 
+    /// \brief Passes a configuration that the store has lost on to all subscribers, present and
+    /// future; null: to none any more.
+    void pass_on(const store::entry* configuration);
+
     /// \brief Sends a delta to all subscribers.
     void publish(const discovery::store_delta& delta);
 
@@ -42,13 +52,15 @@
     };
 
     void accept(forwarding::tcp::socket socket);
-    void record_stamp(const peer_channel* channel, const std::vector<rpc::message>& received);
+    void on_messages(const peer_channel* channel, const std::vector<rpc::message>& received);
 
     forwarding::asio::io_context& loop_;
     const clock& time_;
     const clock& lease_time_;
     listener listener_;
     std::vector<subscriber> subscribers_;
+    configuration_handler on_configuration_;
+    std::optional<rpc::configuration_shard> passed_on_;
 };
 
 } // namespace cicadahatch::gateway
--- a/src/gateway/registry_subscriber.cpp
+++ b/src/gateway/registry_subscriber.cpp
@@ -152,6 +152,27 @@
     }
 }
 
+void registry_subscriber::on_first_message(const source& from, revision seen) {
+    log_.write(logging::weight::notable, "registry.source.heard",
+               {{"source", from.daemon.id.str()}, {"revision", seen.value()}});
+    if (passed_on_) {
+        from.channel->send({*passed_on_});
+    }
+}
+
+void registry_subscriber::pass_on(const store::entry* configuration) {
+    passed_on_.reset();
+    if (configuration == nullptr) {
+        return;
+    }
+    passed_on_ = to_message(*configuration);
+    for (const source& row : predecessors_) {
+        if (row.channel) {
+            row.channel->send({*passed_on_});
+        }
+    }
+}
+
 void registry_subscriber::on_messages(const daemon_id& from,
                                       const std::vector<rpc::message>& received) {
     const auto row = std::find_if(predecessors_.begin(), predecessors_.end(),
@@ -160,13 +181,15 @@
         return;
     }
     for (const rpc::message& message : received) {
+        if (const auto* passed_on = std::get_if<rpc::configuration_shard>(&message)) {
+            on_configuration_(to_entry(*passed_on));
+        }
         const auto* published = std::get_if<rpc::registry_look>(&message);
         if (published == nullptr) {
             continue;
         }
         if (row->last_received_at == time_point{}) {
-            log_.write(logging::weight::notable, "registry.source.heard",
-                       {{"source", from.str()}, {"revision", published->through.value()}});
+            on_first_message(*row, published->through);
         }
         row->last_received_at = time_.now();
         discovery::store_delta delta = to_delta(*published);
--- a/src/gateway/registry_subscriber.hpp
+++ b/src/gateway/registry_subscriber.hpp
@@ -22,6 +22,7 @@
 class registry_subscriber {
 public:
     using delta_handler = std::function<void(discovery::store_delta delta)>;
+    using configuration_handler = std::function<void(const store::entry& entry)>;
 
     /// \param self this daemon with its failure domain
     /// \param timeout time without a delta after which a source is dropped
@@ -33,6 +34,13 @@
     /// \param lease_time keeps running while the VM is suspended; outlives this object
     void measure_age(const clock& lease_time) { lease_time_ = &lease_time; }
 
+    /// \brief Sets the handler of configurations that sources pass on.
+    void on_configuration(configuration_handler handler) { on_configuration_ = std::move(handler); }
+
+    /// \brief Passes a configuration that the store has lost on to all sources, present and future;
+    /// null: to none any more.
+    void pass_on(const store::entry* configuration);
+
     /// \brief Replaces the list of registered daemons.
     void set_daemons(const std::vector<discovery::registered_daemon>& daemons);
 
@@ -62,6 +70,7 @@
     [[nodiscard]] std::optional<time_point>
     find_completeness(const std::vector<rpc::message>& received) const;
     void send_stamp(const source& to) const;
+    void on_first_message(const source& from, revision seen);
 
     forwarding::asio::io_context& loop_;
     const clock& time_;
@@ -70,6 +79,8 @@
     domain_id domain_;
     std::chrono::milliseconds timeout_;
     delta_handler on_delta_;
+    configuration_handler on_configuration_;
+    std::optional<rpc::configuration_shard> passed_on_;
     const clock* lease_time_ = nullptr; ///< null: the age is not measured
     std::vector<source> predecessors_;  ///< in rendezvous order
 };
--- a/test/discovery/follower_test.cpp
+++ b/test/discovery/follower_test.cpp
@@ -85,6 +85,18 @@
     }
 };
 
+/// A follower that has polled a store, of which a copy is kept.
+struct restore_fixture : follower_fixture {
+    test_support::memory_store::store_copy copied;
+
+    restore_fixture() {
+        put("s/a", "x");
+        put("config", "4");
+        copied = store.copy();
+        static_cast<void>(poll());
+    }
+};
+
 bool lists(const registry_update& update, const std::string& id) {
     return std::any_of(update.present.begin(), update.present.end(),
                        [&](const backend& server) { return server.id == backend_id{id}; });
@@ -285,3 +297,86 @@
     follower.withdraw_presence();
     CHECK(poll().daemons.empty());
 }
+
+// Guards against changes that are missed because revisions are counted again after a restore.
+TEST_CASE_FIXTURE(restore_fixture,
+                  "poll, store restored and past its place again, returns a snapshot") {
+    put("s/b", "lost");
+    static_cast<void>(poll());
+    const revision before = store.list("").value().at;
+    store.restore(copied);
+    put("s/c", "x");
+    put("config", "5");
+    put("s/d", "x");
+    const registry_update update = poll();
+    CHECK(update.is_snapshot);
+    CHECK(lists(update, "c"));
+    REQUIRE(update.restored);
+    CHECK(update.restored->before == before);
+    CHECK(update.restored->after > before);
+    CHECK_FALSE(poll().restored);
+}
+
+TEST_CASE_FIXTURE(restore_fixture,
+                  "poll, backend server missing in the copy, may return within the grace period") {
+    put("s/b", "registered after the copy");
+    static_cast<void>(poll());
+    store.restore(copied);
+    const registry_update update = poll();
+    CHECK_FALSE(lists(update, "b"));
+    CHECK(update.grace_ends_at > time.now());
+    CHECK(update.grace_ends_at <= time.now() + options.grace_period);
+}
+
+TEST_CASE_FIXTURE(restore_fixture, "poll, second restore before the first is known, returns one "
+                                   "snapshot of the latest") {
+    put("s/b", "lost");
+    static_cast<void>(poll());
+    store.restore(copied);
+    put("s/c", "lost too");
+    store.restore(copied);
+    const registry_update update = poll();
+    CHECK(update.restored);
+    CHECK_FALSE(lists(update, "c"));
+    CHECK(lists(update, "a"));
+}
+
+TEST_CASE_FIXTURE(restore_fixture,
+                  "poll, older copy of the configuration, does not confirm that it is complete") {
+    std::vector<time_point> confirmed;
+    follower.on_confirmation(time, [&confirmed](time_point at) { confirmed.push_back(at); });
+    CHECK(poll().complete_as_of);
+    store.restore(copied);
+    CHECK_FALSE(poll().complete_as_of);
+    time.advance(options.stabilization - 1ms);
+    CHECK_FALSE(poll().complete_as_of);
+    time.advance(1ms);
+    CHECK(poll().complete_as_of);
+}
+
+TEST_CASE_FIXTURE(restore_fixture,
+                  "maintain_presence, registration lost in a restore, is written within a second") {
+    REQUIRE(follower.maintain_presence());
+    CHECK(poll().daemons.size() == 1);
+    store.restore(copied);
+    CHECK(poll().daemons.empty());
+    time.advance(1s);
+    REQUIRE(follower.maintain_presence());
+    CHECK(poll().daemons.size() == 1);
+}
+
+TEST_CASE_FIXTURE(restore_fixture, "run, each generation of the store, is reported once") {
+    std::vector<store::generation> generations;
+    discovery::follower other{store,
+                              {"config", "s/", "d/", read_configuration, read_backend},
+                              options,
+                              time,
+                              {daemon_id{"d2"}, {"10.0.0.2", 7000}, domain_id{"a"}}};
+    other.on_generation([&generations](store::generation now) { generations.push_back(now); });
+    REQUIRE(other.poll());
+    REQUIRE(other.poll());
+    store.restore(copied);
+    REQUIRE(other.poll());
+    REQUIRE(other.poll());
+    CHECK(generations == std::vector{store::generation{}, store::generation{1}});
+}
--- a/test/discovery/registry_feed_test.cpp
+++ b/test/discovery/registry_feed_test.cpp
@@ -284,3 +284,52 @@
     REQUIRE_FALSE(relay.deltas.empty());
     CHECK(relay.deltas.back().complete_as_of == called_at);
 }
+
+TEST_CASE_FIXTURE(registry_feed_fixture,
+                  "poll, relay has noticed a restore first, reads the store itself") {
+    const auto copied = store.copy();
+    put("s/a", "lost");
+    static_cast<void>(relay_delta());
+    store.restore(copied);
+    put("s/b", "x");
+    put("s/c", "x");
+    const registry_update update = relay_delta();
+    CHECK_FALSE(update.is_relayed);
+    CHECK(update.restored);
+    CHECK(receiver.lists(update, "b"));
+    CHECK_FALSE(receiver.lists(update, "a"));
+    put("s/d", "x");
+    const registry_update next = relay_delta();
+    CHECK(next.is_relayed);
+    CHECK(receiver.lists(next, "d"));
+}
+
+TEST_CASE_FIXTURE(registry_feed_fixture,
+                  "poll, delta of before a restore after it, is ignored whole") {
+    const auto copied = store.copy();
+    put("s/a", "lost");
+    static_cast<void>(relay.follower.poll().value());
+    store_delta older = relay.deltas.back();
+    older.complete_as_of = time.now();
+    relay.deltas.clear();
+    store.restore(copied);
+    REQUIRE(receiver.follower.poll().value().restored);
+    receiver.feed.offer(older);
+    const registry_update update = receiver.follower.poll().value();
+    CHECK(update.present.empty());
+    CHECK_FALSE(update.complete_as_of);
+}
+
+TEST_CASE_FIXTURE(registry_feed_fixture,
+                  "poll, two restores that relay and receiver notice in turn, follows the latest") {
+    const auto copied = store.copy();
+    store.restore(copied);
+    REQUIRE(receiver.follower.poll().value().restored);
+    put("s/a", "x");
+    store.restore(copied);
+    put("s/b", "x");
+    const registry_update update = relay_delta();
+    CHECK(update.restored);
+    CHECK(receiver.lists(update, "b"));
+    CHECK_FALSE(receiver.lists(update, "a"));
+}
--- a/test/gateway/registry_subscriber_test.cpp
+++ b/test/gateway/registry_subscriber_test.cpp
@@ -33,6 +33,8 @@
     std::vector<discovery::registered_daemon> daemons;
     std::vector<daemon_id> order; ///< of the domain of four
     std::vector<discovery::store_delta> received;
+    std::vector<std::string> at_publishers; ///< values of the configurations passed on to them
+    std::vector<std::string> at_subscriber;
     std::unique_ptr<gateway::registry_subscriber> subscriber;
     std::set<daemon_id> paused_publishers;
     std::uint64_t revisions = 1;
@@ -57,6 +59,8 @@
         const http::endpoint place{"127.0.0.1", test_support::reserve_port()};
         auto& made = publishers[daemon_id{name}];
         made = std::make_unique<gateway::registry_publisher>(loop, time, publisher_time);
+        made->on_configuration(
+            [this](const store::entry& entry) { at_publishers.push_back(entry.value); });
         REQUIRE(made->open(place));
         daemons.push_back({daemon_id{name}, place, domain_id{domain}, place});
     }
@@ -64,8 +68,17 @@
         subscriber = std::make_unique<gateway::registry_subscriber>(
             loop, time, log, self, domain_id{"north"}, subscriber_timeout,
             [this](discovery::store_delta delta) { received.push_back(std::move(delta)); });
+        subscriber->on_configuration(
+            [this](const store::entry& entry) { at_subscriber.push_back(entry.value); });
         subscriber->set_daemons(daemons);
     }
+    static store::entry configuration(const std::string& value) {
+        store::entry entry;
+        entry.key = "config";
+        entry.value = value;
+        entry.modified = revision{7};
+        return entry;
+    }
     /// Runs the loop while all publishers that are not paused publish deltas.
     bool run_until(const std::function<bool()>& condition, std::chrono::milliseconds timeout = 5s) {
         const auto until = std::chrono::steady_clock::now() + timeout;
@@ -177,3 +190,33 @@
     REQUIRE(run_until([this] { return received.size() > 4; }));
     CHECK_FALSE(received.back().complete_as_of);
 }
+
+TEST_CASE_FIXTURE(registry_subscriber_fixture,
+                  "publisher passes a configuration on, present and later subscribers receive it") {
+    subscribe_as(order[1]);
+    REQUIRE(run_until([this] { return !received.empty(); }));
+    const store::entry lost = configuration("lost");
+    publishers[order[0]]->pass_on(&lost);
+    CHECK(run_until([this] { return at_subscriber.size() == 1; }));
+    subscribe_as(order[2]);
+    CHECK(run_until([this] { return at_subscriber.size() == 2; }));
+    CHECK(at_subscriber == std::vector<std::string>{"lost", "lost"});
+    publishers[order[0]]->pass_on(nullptr);
+    subscribe_as(order[3]);
+    received.clear();
+    REQUIRE(run_until([this] { return received.size() > 4; }));
+    CHECK(at_subscriber.size() == 2);
+}
+
+TEST_CASE_FIXTURE(registry_subscriber_fixture,
+                  "subscriber passes a configuration on, present and later sources receive it") {
+    subscribe_as(order[1]);
+    const store::entry lost = configuration("lost");
+    subscriber->pass_on(&lost);
+    REQUIRE(run_until([this] { return !received.empty(); }));
+    CHECK(run_until([this] { return at_publishers.size() == 1; }));
+    const store::entry newer = configuration("newer");
+    subscriber->pass_on(&newer);
+    CHECK(run_until([this] { return at_publishers.size() == 2; }));
+    CHECK(at_publishers == std::vector<std::string>{"lost", "newer"});
+}
