Tests: wait until a process has stopped

Cause: SIGSTOP takes effect after kill() has returned, when each thread has been interrupted. Until then the server still answered, and the test read the error of a call that had succeeded.

--- a/test/support/process.cpp
+++ b/test/support/process.cpp
@@ -106,8 +106,14 @@
 }
 
 void process::send_signal(int signal) const {
-    if (id_ > 0) {
-        ::kill(id_, signal);
+    if (id_ <= 0) {
+        return;
+    }
+    ::kill(id_, signal);
+    if (signal == SIGSTOP) {
+        // The process runs on until each of its threads has been interrupted.
+        siginfo_t change{};
+        waitid(P_PID, static_cast<id_t>(id_), &change, WSTOPPED | WEXITED | WNOWAIT);
     }
 }
 
--- a/test/support/process.hpp
+++ b/test/support/process.hpp
@@ -35,6 +35,7 @@
     /// \param listener the listener's name; empty for a program with one
     [[nodiscard]] const http::endpoint& place(const std::string& listener = {}) const;
 
+    /// \brief Sends a signal. The process has stopped when SIGSTOP has been sent.
     void send_signal(int signal) const;
     /// \brief Ends the program at once, as if its VM had died.
     void kill();
