Read-through: one predicate for responses that have begun

request_context::has_response_begun() takes the place of a flag in placement_request and of comparisons with the epoch. The loop over interim responses in timed_client becomes a function. An unused declaration and a stale comment go. No change in behaviour.

--- a/src/forwarding/caller_connection.cpp
+++ b/src/forwarding/caller_connection.cpp
@@ -116,7 +116,7 @@
 
 void caller_connection::end_unanswered(request_end_reason reason) {
     const auto request = running_.lock();
-    if (request != nullptr && request->first_part_at() == time_point{}) {
+    if (request != nullptr && !request->has_response_begun()) {
         request->end(reason);
     }
 }
--- a/src/forwarding/caller_response.cpp
+++ b/src/forwarding/caller_response.cpp
@@ -31,9 +31,9 @@
     if (observation.outcome == metrics::request_outcome::refused) {
         observation.reason = metrics::refusal_reason{std::string{reason}};
     }
-    const bool has_started = request.first_part_at() != time_point{};
     observation.first_token =
-        (has_started ? request.first_part_at() : state.time.now()) - request.arrived();
+        (request.has_response_begun() ? request.first_part_at() : state.time.now()) -
+        request.arrived();
     observation.between_tokens = request.longest_gap();
     observation.first_token_target = route.objective;
     observation.between_tokens_target = route.inter_event_objective;
@@ -76,9 +76,8 @@
                         std::string_view outcome, std::string_view reason, unsigned sends) {
     record_metrics(state, request, status, reason);
     const duration elapsed = state.time.now() - request.arrived();
-    const bool has_started = request.first_part_at() != time_point{};
     const duration first_event =
-        has_started ? request.first_part_at() - request.arrived() : duration{0};
+        request.has_response_begun() ? request.first_part_at() - request.arrived() : duration{0};
     const auto weight = is_success(status) ? logging::weight::routine : logging::weight::notable;
     state.log.write(weight, "request.end",
                     {{"request", request.metadata().id.str()},
--- a/src/forwarding/request_context.cpp
+++ b/src/forwarding/request_context.cpp
@@ -60,7 +60,7 @@
 }
 
 void request_context::record_response_part(time_point at) {
-    if (first_part_at_ == time_point{}) {
+    if (!has_response_begun()) {
         first_part_at_ = at;
     } else {
         longest_gap_ = std::max(longest_gap_, at - last_part_at_);
--- a/src/forwarding/request_context.hpp
+++ b/src/forwarding/request_context.hpp
@@ -58,6 +58,9 @@
 
     /// \brief Records the time of a response part sent to the caller.
     void record_response_part(time_point at);
+    [[nodiscard]] bool has_response_begun() const noexcept {
+        return first_part_at_ != time_point{};
+    }
     /// \returns when the first part was sent; the epoch if none was
     [[nodiscard]] time_point first_part_at() const noexcept { return first_part_at_; }
     /// \returns the longest time between two parts
--- a/src/forwarding/stall.hpp
+++ b/src/forwarding/stall.hpp
@@ -12,7 +12,7 @@
 /// Such an engine is kept: its silence alone does not tell that the stream is lost, and it may run
 /// the stream even after the connection is closed.
 struct stall {
-    time_point last_event_at; ///< or the start of the attempt
+    time_point last_event_at;
     time_point next_check_at;
     int missed_checks = 0; ///< in a row
 };
--- a/src/forwarding/stream_forward.cpp
+++ b/src/forwarding/stream_forward.cpp
@@ -200,7 +200,6 @@
 /// rest must only arrive before the caller abandons the stream. It is queued behind streams that
 /// can still meet their objective.
 void set_resumed_targets(stream_state& stream, const request_context& request, time_point now) {
-    stream.placement.has_response_begun = true;
     stream.placement.target = max_useful_wait(request.route());
     stream.placement.target_start = now;
     stream.placement.is_late = true;
--- a/src/gateway/placement_client.cpp
+++ b/src/gateway/placement_client.cpp
@@ -115,8 +115,8 @@
     entries_[name] = entry;
     send_to_home(entry);
     context->set_end_handler([wake_timer = entry->wake_timer] { wake_timer->cancel(); });
-    while (!entry->is_answered && !context->is_ended() && !has_missed_shutdown(request)) {
-        entry->wake_timer->expires_at(last_wait(*context, request));
+    while (!entry->is_answered && !context->is_ended() && !has_missed_shutdown(*context)) {
+        entry->wake_timer->expires_at(last_wait(*context));
         net_error ignored; // The wait ends with a response, the request or the last placement.
         co_await entry->wake_timer->async_wait(forwarding::capture_error(ignored));
     }
@@ -150,14 +150,16 @@
     co_return answer;
 }
 
-bool placement_client::has_missed_shutdown(const placement_request& request) const {
-    return state_.is_stopping && !request.has_response_begun &&
-           state_.time.now() >= state_.shutdown.last_placement;
+bool placement_client::is_bounded_by_shutdown(const request_context& context) const {
+    return state_.is_stopping && !context.has_response_begun();
 }
 
-time_point placement_client::last_wait(const request_context& context,
-                                       const placement_request& request) const {
-    return state_.is_stopping && !request.has_response_begun
+bool placement_client::has_missed_shutdown(const request_context& context) const {
+    return is_bounded_by_shutdown(context) && state_.time.now() >= state_.shutdown.last_placement;
+}
+
+time_point placement_client::last_wait(const request_context& context) const {
+    return is_bounded_by_shutdown(context)
                ? std::min(context.deadline(), state_.shutdown.last_placement)
                : context.deadline();
 }
--- a/src/gateway/placement_client.hpp
+++ b/src/gateway/placement_client.hpp
@@ -65,11 +65,12 @@
     void handle(const daemon_id& home, const rpc::crashing_parts& known);
     /// \returns the answer to a request if no home can be reached
     [[nodiscard]] forwarding::placement_response answer_without_home(const rpc::acquire& request);
+    /// \returns whether the daemon is shutting down and the request waits for its response
+    [[nodiscard]] bool is_bounded_by_shutdown(const forwarding::request_context& context) const;
     /// \returns whether the daemon is shutting down and no placement is of use any more
-    [[nodiscard]] bool has_missed_shutdown(const forwarding::placement_request& request) const;
+    [[nodiscard]] bool has_missed_shutdown(const forwarding::request_context& context) const;
     /// \returns when the wait for a placement ends at the latest
-    [[nodiscard]] time_point last_wait(const forwarding::request_context& context,
-                                       const forwarding::placement_request& request) const;
+    [[nodiscard]] time_point last_wait(const forwarding::request_context& context) const;
     /// \returns the answer to a request that has waited in vain
     [[nodiscard]] forwarding::placement_response
     answer_unplaced(const forwarding::request_context& context) const;
--- a/src/http/timed_client.cpp
+++ b/src/http/timed_client.cpp
@@ -61,6 +61,19 @@
         return outcome;
     }
 
+    /// Reads the response that follows any interim ones, and counts these.
+    boost::system::error_code read(std::optional<beast_parser>& parser, int& interim) {
+        boost::system::error_code error;
+        do {
+            parser.emplace();
+            parser->body_limit(max_response_bytes);
+            error =
+                run([&](auto done) { beast::http::async_read(*stream, buffer, *parser, done); });
+        } while (!error && is_interim(parser->get().result_int()) &&
+                 ++interim <= max_interim_responses);
+        return error;
+    }
+
     void close() {
         stream.reset();
         buffer.clear();
@@ -103,17 +116,10 @@
     boost::system::error_code error =
         used.run([&](auto done) { beast::http::async_write(*used.stream, message, done); });
     std::optional<beast_parser> parser;
-    int responses = 0;
-    do {
-        parser.emplace();
-        parser->body_limit(max_response_bytes);
-        if (!error) {
-            error = used.run([&](auto done) {
-                beast::http::async_read(*used.stream, used.buffer, *parser, done);
-            });
-        }
-    } while (!error && is_interim(parser->get().result_int()) &&
-             ++responses <= max_interim_responses);
+    int interim = 0;
+    if (!error) {
+        error = used.read(parser, interim);
+    }
     if (!error && parser->get().result_int() >= status_ok) {
         if (!parser->keep_alive()) {
             used.close();
@@ -121,8 +127,8 @@
         return from_beast(*parser);
     }
     used.close();
-    const bool is_stale =
-        was_kept && error != beast::error::timeout && responses == 0 && !parser->got_some();
+    const bool has_received = interim > 0 || (parser && parser->got_some());
+    const bool is_stale = was_kept && error != beast::error::timeout && !has_received;
     if (is_stale && is_repeatable) {
         return call(sent, timeout, false);
     }
--- a/test/gateway/registry_subscriber_test.cpp
+++ b/test/gateway/registry_subscriber_test.cpp
@@ -15,7 +15,6 @@
 using namespace std::chrono_literals;
 using namespace cicadahatch;
 namespace asio = forwarding::asio;
-using forwarding::tcp;
 
 constexpr std::chrono::milliseconds subscriber_timeout = 300ms;
 
--- a/test/gateway/store_restore_test.cpp
+++ b/test/gateway/store_restore_test.cpp
@@ -61,7 +61,7 @@
         return bounds;
     }
     /// Publishes a version with a team of these keys.
-    void put_keys(int version, const std::vector<std::string>& keys) {
+    void put_keys(std::uint64_t version, const std::vector<std::string>& keys) {
         auto configuration = json::parse(sample_platform_configuration(version));
         configuration["tenants"] = {{{"name", "blue"}, {"apiKeys", keys}}};
         stub.put("op/config", configuration.dump());
