Log registrations of daemons; keep a configuration of any generation

A daemon's registration is logged, so that an operator sees when it is back after a restore. The newest configuration is kept for other daemons also if the store counts its generations from zero.

--- a/src/discovery/follower.cpp
+++ b/src/discovery/follower.cpp
@@ -299,6 +299,9 @@
         return tl::unexpected(outcome.error());
     }
     lease_ = *lease;
+    if (on_registration_) {
+        on_registration_();
+    }
     return {};
 }
 
--- a/src/discovery/follower.hpp
+++ b/src/discovery/follower.hpp
@@ -98,6 +98,7 @@
     using delta_handler = std::function<void(store_delta)>;
     using confirmation_handler = std::function<void(time_point complete_as_of)>;
     using generation_handler = std::function<void(store::generation)>;
+    using registration_handler = std::function<void()>;
 
     /// \param store,time outlive this object
     follower(store::key_value_store& store, registry_schema schema, follower_options options,
@@ -122,6 +123,9 @@
     /// \brief Sets the handler of each generation of the store, the first included.
     void on_generation(generation_handler handler) { on_generation_ = std::move(handler); }
 
+    /// \brief Sets the handler of each registration of this daemon, renewals of its lease excluded.
+    void on_registration(registration_handler handler) { on_registration_ = std::move(handler); }
+
     /// \brief Polls until stop() is called.
     void run(const update_handler& on_update, const status_handler& on_status);
 
@@ -169,6 +173,7 @@
     delta_handler on_delta_;
     confirmation_handler on_confirmation_;
     generation_handler on_generation_;
+    registration_handler on_registration_;
     const clock* lease_time_ = nullptr; ///< null: the age of the configuration is not measured
     std::map<std::string, registered_daemon> daemons_; ///< by key
     bool is_unreachable_ = false;
--- a/src/gateway/internal/gateway_daemon_impl.cpp
+++ b/src/gateway/internal/gateway_daemon_impl.cpp
@@ -228,6 +228,9 @@
             lease_manager_->set_generation(current);
         }
     });
+    follower_->on_registration([this] {
+        asio::post(loop_, [this] { log_.write(weight::notable, "daemon.registered", {}); });
+    });
     follower_->on_delta([this](discovery::store_delta delta) {
         asio::post(loop_, [this, delta = std::move(delta)] { publisher_.publish(delta); });
     });
--- a/src/gateway/lost_configuration.cpp
+++ b/src/gateway/lost_configuration.cpp
@@ -1,13 +1,11 @@
 #include "src/gateway/lost_configuration.hpp"
 
 #include "src/gateway/constants.hpp"
-#include "src/store/generation.hpp"
 
 namespace cicadahatch::gateway {
 
 void lost_configuration::keep_newest(const store::entry& entry, std::uint64_t version) {
-    const bool can_be_lost = !store::generation_of(entry.modified).empty();
-    if (version < newest_version_ || !can_be_lost) {
+    if (version < newest_version_) {
         return;
     }
     newest_version_ = version;
--- a/src/gateway/lost_configuration.hpp
+++ b/src/gateway/lost_configuration.hpp
@@ -14,8 +14,8 @@
 /// starts then reads only the copy.
 class lost_configuration {
 public:
-    /// \brief Records the version that the store shows. Entries of a store that states no
-    /// generation and entries too large to be passed on are not kept.
+    /// \brief Records the version that the store shows. An entry too large to be passed on is not
+    /// kept.
     void record_stored(const store::entry& entry, std::uint64_t version);
 
     /// \brief Records a configuration that another daemon has passed on.
--- a/test/discovery/follower_test.cpp
+++ b/test/discovery/follower_test.cpp
@@ -356,6 +356,8 @@
 
 TEST_CASE_FIXTURE(restore_fixture,
                   "maintain_presence, registration lost in a restore, is written within a second") {
+    int registrations = 0;
+    follower.on_registration([&registrations] { ++registrations; });
     REQUIRE(follower.maintain_presence());
     CHECK(poll().daemons.size() == 1);
     store.restore(copied);
@@ -363,6 +365,7 @@
     time.advance(1s);
     REQUIRE(follower.maintain_presence());
     CHECK(poll().daemons.size() == 1);
+    CHECK(registrations == 2);
 }
 
 TEST_CASE_FIXTURE(restore_fixture, "run, each generation of the store, is reported once") {
