--- a/test/gateway/registry_subscriber_test.cpp
+++ b/test/gateway/registry_subscriber_test.cpp
@@ -35,6 +35,8 @@
     std::vector<std::string> at_publishers; ///< values of the configurations passed on to them
     std::vector<std::string> at_subscriber;
     std::unique_ptr<gateway::registry_subscriber> subscriber;
+    /// Their connections are served until the loop ends.
+    std::vector<std::unique_ptr<gateway::registry_subscriber>> former_subscribers;
     std::set<daemon_id> paused_publishers;
     std::uint64_t revisions = 1;
 
@@ -64,6 +66,9 @@
         daemons.push_back({daemon_id{name}, place, domain_id{domain}, place});
     }
     void subscribe_as(const daemon_id& self) {
+        if (subscriber) {
+            former_subscribers.push_back(std::move(subscriber));
+        }
         subscriber = std::make_unique<gateway::registry_subscriber>(
             loop, time, log, self, domain_id{"north"}, subscriber_timeout,
             [this](discovery::store_delta delta) { received.push_back(std::move(delta)); });
