--- a/test/support/platform_stub.cpp
+++ b/test/support/platform_stub.cpp
@@ -147,8 +147,11 @@
     }
     void write_entry(const stub_engine& engine) {
         const auto place = engine.acceptor->local_endpoint();
+        write_entry(engine, {"127.0.0.1", place.port()});
+    }
+    void write_entry(const stub_engine& engine, const http::endpoint& place) {
         json entry = {{"service", engine.service},
-                      {"address", "127.0.0.1:" + std::to_string(place.port())},
+                      {"address", http::to_string(place)},
                       {"zone", "a"},
                       {"version", "v1"},
                       {"slots", 8},
@@ -754,6 +757,16 @@
     asio::post(own.loop, [&own, &engine] { own.accept_callers(engine); });
 }
 
+void platform_stub::register_server(const std::string& id, const std::string& service,
+                                    const std::string& stage, const http::endpoint& place) {
+    const std::lock_guard lock{parts_->mutex};
+    stub_engine registered;
+    registered.id = id;
+    registered.service = service;
+    registered.stage = stage;
+    parts_->write_entry(registered, place);
+}
+
 void platform_stub::crash(const std::string& id) {
     parts& own = *parts_;
     const std::lock_guard lock{own.mutex};
--- a/test/support/platform_stub.hpp
+++ b/test/support/platform_stub.hpp
@@ -113,6 +113,9 @@
     /// \brief Starts an engine and registers it.
     /// \param stage "prefill", "decode", or empty for a plain server
     void add_engine(const std::string& id, const std::string& service, const std::string& stage);
+    /// \brief Writes the entry of a server that is not one of the stub's.
+    void register_server(const std::string& id, const std::string& service,
+                         const std::string& stage, const http::endpoint& place);
     void set_script(const std::string& id, const engine_script& script);
     /// \brief Rewrites the engine's entry with another state.
     void set_state(const std::string& id, const std::string& state);
