Forwarding: a response without a length that is reset during the upload is broken

Callers got 200 with a part of the body, as a complete answer with a Content-Length, when a server answered a long upload early without a length and reset the connection while the request was still being written. Streams ended as complete, a part of a failure was relayed, and the KV cache of such a prefill was used.

Cause: the kernel reports the reset of a connection once. The pending write received it, so the read saw an end of the stream, which is the end of such a response. read_body() did not look at the write.

Why it works: the write and the read are attempted in order on one thread, so a read that sees the end of the stream because the write took the error runs after it. A server that has ended its side before the reset has sent its whole response; the kernel tells this apart by EPIPE, and it is delivered as before. What follows is as for any lost connection: a request that runs once gets 502, never 503; one that may be repeated goes to another server within the budget; a resumable stream goes on elsewhere.

--- a/src/forwarding/backend_connection.cpp
+++ b/src/forwarding/backend_connection.cpp
@@ -64,14 +64,23 @@
     auto message = std::make_shared<backend_request>(std::move(outgoing));
     is_head_request_ = message->method() == beast_http::verb::head;
     is_request_written_ = false;
+    write_error_ = {};
     ++requests_;
     beast_http::async_write(socket_, *message,
                             [self = shared_from_this(), message](const net_error& error, auto) {
                                 self->is_request_written_ = !error;
+                                self->write_error_ = error;
                                 self->is_broken_ = self->is_broken_ || error.failed();
                             });
 }
 
+bool backend_connection::is_truncated_by_reset() const {
+    // A failed connection reports its error once. If the write received it, reads see an ordinary
+    // end of the stream. After the server has ended its side, the write fails with broken_pipe.
+    const bool is_reset = write_error_ && write_error_ != asio::error::broken_pipe;
+    return is_reset && parser_->is_done() && parser_->need_eof();
+}
+
 asio::awaitable<std::error_code> backend_connection::read_head() {
     std::error_code error = co_await read_next_head();
     int interim = 0;
@@ -113,6 +122,9 @@
         error = {};
     }
     output.append(chunk.data(), chunk.size() - body.size);
+    if (!error && is_truncated_by_reset()) {
+        error = write_error_;
+    }
     if (error) {
         is_broken_ = true;
     }
--- a/src/forwarding/backend_connection.hpp
+++ b/src/forwarding/backend_connection.hpp
@@ -36,7 +36,7 @@
     [[nodiscard]] asio::awaitable<std::error_code> read_head();
 
     /// \brief Waits for body bytes and appends them to output. The body is complete once
-    /// is_response_complete() is true.
+    /// is_response_complete() is true and no error is returned.
     [[nodiscard]] asio::awaitable<std::error_code> read_body(std::string& output);
 
     /// \brief Fails the exchange with errc::timed_out at the given time; a later call replaces it.
@@ -81,6 +81,9 @@
     [[nodiscard]] std::error_code classify_error(const net_error& error) const;
     /// \brief Reads the head of the next response, which may be an interim one.
     [[nodiscard]] asio::awaitable<std::error_code> read_next_head();
+    /// \returns whether a response that ends with the connection was cut off: the connection failed
+    /// while the request was being written
+    [[nodiscard]] bool is_truncated_by_reset() const;
 
     tcp::socket socket_;
     asio::steady_timer deadline_timer_;
@@ -91,6 +94,7 @@
     std::uint64_t requests_ = 0; ///< sent on this connection
     bool is_head_request_ = false;
     bool is_request_written_ = true;
+    net_error write_error_; ///< of the last request
     bool has_expired_ = false;
     bool is_cancelled_ = false;
     bool is_broken_ = false;
--- a/test/gateway/broken_responses_test.cpp
+++ b/test/gateway/broken_responses_test.cpp
@@ -255,6 +255,91 @@
     CHECK(decode.count("h-broken") == 0);
 }
 
+TEST_CASE_FIXTURE(broken_responses_fixture,
+                  "long upload, early 200 without a length is reset during it, reaches no caller") {
+    for (const auto end : {raw_answer::ending::reset, raw_answer::ending::close}) {
+        for (const char* body : {"", "part"}) {
+            for (const char* version : {"HTTP/1.1", "HTTP/1.0"}) {
+                INFO(static_cast<int>(end), std::string{body}, std::string{version});
+                const raw_answer early{version + ok_head.substr(8) + "\r\n" + body, end, true, 0ms,
+                                       60ms};
+                const std::size_t before = plain.count("POST /book/x");
+                CHECK(status_of(answer_to(early, long_upload())) == 502);
+                CHECK(plain.count("POST /book/x") == before + 1);
+                answer_soundly();
+            }
+        }
+    }
+}
+
+TEST_CASE_FIXTURE(
+    broken_responses_fixture,
+    "long repeatable upload, early 200 is reset during it, is sent to another server") {
+    scripted_server other;
+    stub.register_server("raw-other", "shop", "", other.place());
+    REQUIRE(eventually([this] { return has_logged("\"raw-other\""); }));
+    plain.set_answer({ok_head + "\r\npart", raw_answer::ending::reset, true, 0ms, 60ms});
+    const std::size_t before = plain.count("POST /plain/x");
+    for (int round = 0; round < 10 && plain.count("POST /plain/x") == before; ++round) {
+        CHECK(call("POST", "/plain/x", {}, long_upload()).ends_with("whole"));
+    }
+    CHECK(plain.count("POST /plain/x") == before + 1);
+}
+
+TEST_CASE_FIXTURE(
+    broken_responses_fixture,
+    "long prompt, early stream without a length is reset between two events, does not "
+    "look complete") {
+    replace_engines();
+    for (const auto end : {raw_answer::ending::reset, raw_answer::ending::close}) {
+        INFO(static_cast<int>(end));
+        decode.set_answer({event_head + "\r\nid: 0\ndata: 0\n\n", end, true, 0ms, 60ms});
+        CHECK_FALSE(is_complete_stream(call_stream("/stream/x", long_upload())));
+        decode.set_answer(sound_stream());
+        REQUIRE(eventually([this] { return is_complete_stream(call_stream("/stream/x")); }));
+    }
+}
+
+TEST_CASE_FIXTURE(broken_responses_fixture,
+                  "long resumable prompt, early stream without a length is reset between two "
+                  "events, goes on at another engine") {
+    replace_engines();
+    scripted_server other;
+    other.set_answer(sound_stream());
+    stub.register_server("raw-other", "model", "decode", other.place());
+    REQUIRE(eventually([this] { return has_logged("\"raw-other\""); }));
+    decode.set_answer(
+        {event_head + "\r\nid: 0\ndata: 0\n\n", raw_answer::ending::reset, true, 0ms, 60ms});
+    const std::size_t before = decode.count("/resume/x");
+    for (int round = 0; round < 10 && decode.count("/resume/x") == before; ++round) {
+        const std::string received = call_stream("/resume/x", long_upload());
+        CHECK(is_complete_stream(received));
+        CHECK(received.find("id: 1") != std::string::npos);
+    }
+    CHECK(decode.count("/resume/x") == before + 1);
+}
+
+TEST_CASE_FIXTURE(
+    broken_responses_fixture,
+    "long prompt, early failure without a length is reset during it, is not relayed") {
+    replace_engines();
+    const std::string failure = "HTTP/1.1 500 X\r\n" + server_fields + "\r\npart";
+    decode.set_answer({failure, raw_answer::ending::reset, true, 0ms, 60ms});
+    const std::string received = call_stream("/stream/x", long_upload());
+    CHECK(status_of(received) == 502);
+    CHECK(received.find("part") == std::string::npos);
+}
+
+TEST_CASE_FIXTURE(broken_responses_fixture,
+                  "long prompt, early prefill without a length is reset during it, its KV cache is "
+                  "not used") {
+    replace_engines();
+    prefill.set_answer({ok_head + "\r\n" + R"({"kvHandle":"k-broken","tokens":10,"version":1})",
+                        raw_answer::ending::reset, true, 0ms, 60ms});
+    REQUIRE(stream_reaches(prefill, "/stream/x", long_upload()));
+    CHECK(decode.count("k-broken") == 0);
+}
+
 TEST_CASE_FIXTURE(broken_responses_fixture, "complete response, early or late, is delivered") {
     const std::string until_close = ok_head + "\r\nwhole";
     const std::string chunked =
