HTTP: a response head with a line that begins with whitespace is malformed

A field name that begins with a blank makes a broken answer, but such a line was joined to the field before it. After "X-A: b", a line " Content-Length: 4" gave callers 200 with the bytes behind the body, " Transfer-Encoding: chunked" the chunk sizes as body text, and " : v" after the signature a changed signature. The client of the platform's store took such replies too.

Cause: the parser accepts obsolete line folding. RFC 9112, 5.2 lets a gateway discard such a response.

Why it works: parse_response_head() sees the lines that the parser has taken, and a folded line is taken together with the one before it. Both readers that use Beast go through it. Bytes after the head are not looked at, so a body may hold such lines.

--- a/src/forwarding/backend_connection.cpp
+++ b/src/forwarding/backend_connection.cpp
@@ -1,8 +1,10 @@
 #include "src/forwarding/backend_connection.hpp"
 
 #include "src/forwarding/error.hpp"
+#include "src/http/response_head.hpp"
 
 #include <array>
+#include <boost/beast/core/read_size.hpp>
 #include <charconv>
 #include <limits>
 #include <netinet/tcp.h>
@@ -100,8 +102,15 @@
     // Callers of read_body() bound what they buffer; a stream has no total limit.
     parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
     parser_->skip(is_head_request_);
-    net_error error;
-    co_await beast_http::async_read_header(socket_, buffer_, *parser_, capture_error(error));
+    net_error error = http::parse_response_head(*parser_, buffer_);
+    while (error == beast_http::error::need_more) {
+        const std::size_t received = co_await socket_.async_read_some(
+            buffer_.prepare(boost::beast::read_size(buffer_, read_bytes)), capture_error(error));
+        if (!error) {
+            buffer_.commit(received);
+            error = http::parse_response_head(*parser_, buffer_);
+        }
+    }
     if (error) {
         is_broken_ = true;
     }
--- a/src/http/timed_client.cpp
+++ b/src/http/timed_client.cpp
@@ -2,10 +2,12 @@
 
 #include "src/http/constants.hpp"
 #include "src/http/error.hpp"
+#include "src/http/response_head.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
@@ -17,6 +19,9 @@
 
 namespace {
 
+/// Bytes of a response read at once.
+constexpr std::size_t read_bytes = 8192;
+
 using beast_request = beast::http::request<beast::http::string_body>;
 using beast_parser = beast::http::response_parser<beast::http::string_body>;
 
@@ -61,14 +66,36 @@
         return outcome;
     }
 
+    boost::system::error_code read_head(beast_parser& parser) {
+        boost::system::error_code error = parse_response_head(parser, buffer);
+        while (error == beast::http::error::need_more) {
+            std::size_t received = 0;
+            error = run([&](auto done) {
+                const auto space = buffer.prepare(beast::read_size(buffer, read_bytes));
+                stream->async_read_some(space, [&received, done](auto failed, std::size_t bytes) {
+                    received = bytes;
+                    done(failed);
+                });
+            });
+            if (!error) {
+                buffer.commit(received);
+                error = parse_response_head(parser, buffer);
+            }
+        }
+        return error;
+    }
+
     /// Reads the response that follows any interim ones, and counts these.
     boost::system::error_code read(std::optional<beast_parser>& parser, int& interim) {
         boost::system::error_code error;
         do {
             parser.emplace();
             parser->body_limit(max_response_bytes);
-            error =
-                run([&](auto done) { beast::http::async_read(*stream, buffer, *parser, done); });
+            error = read_head(*parser);
+            if (!error) {
+                error = run(
+                    [&](auto done) { beast::http::async_read(*stream, buffer, *parser, done); });
+            }
         } while (!error && is_interim(parser->get().result_int()) &&
                  ++interim <= max_interim_responses);
         return error;
--- a/test/gateway/broken_responses_test.cpp
+++ b/test/gateway/broken_responses_test.cpp
@@ -223,6 +223,17 @@
     }
 }
 
+TEST_CASE_FIXTURE(broken_responses_fixture,
+                  "response, field line that begins with whitespace, reaches no caller") {
+    for (const std::string& line : folded_lines) {
+        const std::string rest = "Content-Length: 5\r\n\r\nwhole";
+        check_rejected("HTTP/1.1 200 OK\r\n" + line + "\r\n" + server_fields + rest);
+        check_rejected(ok_head + line + "\r\n" + rest);
+        check_rejected(ok_head + "X-A: b\r\n" + line + "\r\n\r\nwhole");
+        check_rejected("HTTP/1.1 102 Processing\r\nX-A: b\r\n" + line + "\r\n\r\n" + whole_answer);
+    }
+}
+
 TEST_CASE_FIXTURE(broken_responses_fixture,
                   "stream, malformed head, reaches no caller and is not taken for unexecuted") {
     replace_engines();
--- a/test/platform/kv_store_test.cpp
+++ b/test/platform/kv_store_test.cpp
@@ -2,6 +2,7 @@
 #include "src/store/error.hpp"
 #include "src/store/generation.hpp"
 #include "test/support/platform_stub.hpp"
+#include "test/support/raw_server.hpp"
 
 #include <doctest/doctest.h>
 
@@ -23,6 +24,18 @@
     return outcome ? std::error_code{} : outcome.error();
 }
 
+/// A store that answers with any bytes.
+struct broken_store_fixture {
+    test_support::raw_answer answer;
+    test_support::raw_server server{[this](const std::string&) { return answer; }};
+    platform::kv_store store{server.place(), 2s};
+
+    [[nodiscard]] std::error_code list_error() { return error_of(store.list("")); }
+    [[nodiscard]] std::error_code swap_error(std::size_t value_bytes) {
+        return error_of(store.swap("a/1", {}, std::string(value_bytes, 'v'), {}));
+    }
+};
+
 /// A store that keeps a copy of its data after the first write.
 struct restored_store_fixture : kv_store_fixture {
     restored_store_fixture() {
@@ -136,6 +149,40 @@
     CHECK(listed->entries.size() == 3);
 }
 
+TEST_CASE_FIXTURE(broken_store_fixture,
+                  "calls, reply with a malformed head, fail and a write's outcome is unknown") {
+    const std::string body = R"({"items":[],"storeRevision":7,"revision":7})";
+    const std::string length =
+        "Connection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+    answer.bytes = "HTTP/1.1 200 OK\r\n" + length + "\r\n" + body;
+    REQUIRE_FALSE(list_error());
+    REQUIRE_FALSE(swap_error(1));
+    for (const char* head :
+         {"HTTP/1.1 000 OK\r\n", "HTTP/1.1 099 OK\r\n", "HTTP/1.1 200 OK\r\nX A: v\r\n",
+          "HTTP/1.1 200 OK\r\nX\x01: v\r\n", "HTTP/1.1 200 OK\r\nX : v\r\n",
+          "HTTP/1.1 200 OK\r\n X: v\r\n", "HTTP/1.1 200 OK\r\nX: v\r\n Store-Era: 2\r\n",
+          "HTTP/1.1 102 Processing\r\nX: v\r\n Y: v\r\n\r\nHTTP/1.1 200 OK\r\n"}) {
+        INFO(std::string{head});
+        answer.bytes = head + length + "\r\n" + body;
+        CHECK(list_error() == errc::unavailable);
+        CHECK(swap_error(1) == errc::outcome_unknown);
+    }
+}
+
+TEST_CASE_FIXTURE(broken_store_fixture,
+                  "calls, reply is reset before its end, fail and a write's outcome is unknown") {
+    using ending = test_support::raw_answer::ending;
+    const std::string body = R"({"items":[],"storeRevision":7,"revision":7})";
+    for (const bool is_early : {false, true}) {
+        answer = {"HTTP/1.1 200 OK\r\n\r\n" + body, ending::reset, is_early, 0ms, 60ms};
+        CHECK(list_error() == errc::unavailable);
+        CHECK(swap_error(1'000'000) == errc::outcome_unknown);
+    }
+    answer = {"HTTP/1.1 200 OK\r\n\r\n" + body};
+    CHECK_FALSE(list_error());
+    CHECK_FALSE(swap_error(1'000'000));
+}
+
 // Guards against changes that are missed because revisions are counted again after a restore.
 TEST_CASE_FIXTURE(restored_store_fixture,
                   "watch, store restored and past that revision again, returns compacted") {
