HTTP: a response in an unknown transfer coding is malformed

A response with Transfer-Encoding: gzip, or gzip with chunked, reached callers with its bytes still coded and its Transfer-Encoding removed: a body that is not the server's, as a complete answer.

Cause: the parser reads any coding but chunked as a body that ends with the connection, and of two codings it removes chunked only.

Why it works: parse_response_head() accepts no coding but chunked, the only one that the daemon decodes and offers (it sends no TE field).

--- a/src/http/response_head.cpp
+++ b/src/http/response_head.cpp
@@ -2,7 +2,7 @@
 
 #include <string_view>
 
-namespace cicadahatch::http {
+namespace cicadahatch::http::internal {
 
 namespace beast_http = boost::beast::http;
 
@@ -14,10 +14,16 @@
            parsed.find("\n\t") != std::string_view::npos;
 }
 
+bool has_unknown_transfer_coding(const beast_http::response_header<>& head) {
+    const std::size_t lines = head.count(beast_http::field::transfer_encoding);
+    return lines > 1 || (lines == 1 && !boost::beast::iequals(
+                                           head[beast_http::field::transfer_encoding], "chunked"));
+}
+
 } // namespace
 
-boost::system::error_code parse_response_head(beast_http::basic_parser<false>& parser,
-                                              boost::beast::flat_buffer& received) {
+boost::system::error_code parse_field_lines(beast_http::basic_parser<false>& parser,
+                                            boost::beast::flat_buffer& received) {
     boost::system::error_code error;
     while (!error && !parser.is_header_done()) {
         if (received.size() == 0) {
@@ -34,4 +40,11 @@
     return error;
 }
 
-} // namespace cicadahatch::http
+boost::system::error_code check_response_head(const beast_http::response_header<>& head) {
+    if (has_unknown_transfer_coding(head)) {
+        return beast_http::make_error_code(beast_http::error::bad_transfer_encoding);
+    }
+    return {};
+}
+
+} // namespace cicadahatch::http::internal
--- a/test/gateway/broken_responses_test.cpp
+++ b/test/gateway/broken_responses_test.cpp
@@ -234,6 +234,18 @@
     }
 }
 
+TEST_CASE_FIXTURE(broken_responses_fixture,
+                  "response, transfer coding other than chunked, reaches no caller") {
+    const std::string chunked_body = "\r\n5\r\nwhole\r\n0\r\n\r\n";
+    for (const char* codings :
+         {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "identity", "x"}) {
+        check_rejected(ok_head + "Transfer-Encoding: " + codings + "\r\n" + chunked_body);
+    }
+    check_rejected(ok_head + "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n" +
+                   chunked_body);
+    check_rejected(ok_head + "Transfer-Encoding: gzip\r\nContent-Length: 5\r\n\r\nwhole");
+}
+
 TEST_CASE_FIXTURE(broken_responses_fixture,
                   "stream, malformed head, reaches no caller and is not taken for unexecuted") {
     replace_engines();
@@ -354,7 +366,7 @@
 TEST_CASE_FIXTURE(broken_responses_fixture, "complete response, early or late, is delivered") {
     const std::string until_close = ok_head + "\r\nwhole";
     const std::string chunked =
-        ok_head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
+        ok_head + "Transfer-Encoding: Chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
     for (const std::string& bytes : {whole_answer, chunked}) {
         INFO(bytes);
         for (const auto end : {raw_answer::ending::reset, raw_answer::ending::close,
--- a/test/http/response_head_test.cpp
+++ b/test/http/response_head_test.cpp
@@ -64,3 +64,15 @@
         }
     }
 }
+
+TEST_CASE_FIXTURE(response_head_fixture, "head, transfer coding other than chunked, is an error") {
+    const std::string begin = "HTTP/1.1 200 OK\r\nTransfer-Encoding: ";
+    CHECK_FALSE(parse(begin + "chunked\r\n\r\n", 1000));
+    CHECK_FALSE(parse(begin + "Chunked\r\n\r\n", 1000));
+    for (const char* codings : {"gzip", "gzip, chunked", "chunked, chunked", "identity",
+                                "gzip\r\nTransfer-Encoding: chunked"}) {
+        INFO(std::string{codings});
+        CHECK(parse(begin + codings + "\r\n\r\n", 1000) ==
+              beast::http::error::bad_transfer_encoding);
+    }
+}
