HTTP: a response with a status beyond 599 is malformed

Callers got a server's 600, 700 or 999 as an answer. Clients can't tell what such a status means, and some fail on it; RFC 9110, 15 calls it invalid.

Cause: the parser takes any three digits; only those below 200 were looked at.

Why it works: parse_response_head() takes 100 to 599 only, for servers and the store alike.

--- a/src/http/response_head.cpp
+++ b/src/http/response_head.cpp
@@ -14,6 +14,12 @@
            parsed.find("\n\t") != std::string_view::npos;
 }
 
+constexpr bool is_valid_status(unsigned status) noexcept {
+    constexpr unsigned first_status = 100;
+    constexpr unsigned last_status = 599;
+    return status >= first_status && status <= last_status;
+}
+
 bool has_unknown_transfer_coding(const beast_http::response_header<>& head) {
     const std::size_t lines = head.count(beast_http::field::transfer_encoding);
     return lines > 1 || (lines == 1 && !boost::beast::iequals(
@@ -41,6 +47,9 @@
 }
 
 boost::system::error_code check_response_head(const beast_http::response_header<>& head) {
+    if (!is_valid_status(head.result_int())) {
+        return beast_http::make_error_code(beast_http::error::bad_status);
+    }
     if (has_unknown_transfer_coding(head)) {
         return beast_http::make_error_code(beast_http::error::bad_transfer_encoding);
     }
--- a/src/http/response_head.hpp
+++ b/src/http/response_head.hpp
@@ -22,6 +22,7 @@
 /// - A field line that begins with whitespace, as a name must not (RFC 9112, 5.1). The parser would
 ///   append it to the line before (obsolete line folding, RFC 9112, 5.2), and so drop a field that
 ///   frames the body.
+/// - A status outside 100 to 599 (RFC 9110, 15).
 /// - A transfer coding other than chunked: the body could not be decoded.
 /// \returns success once the head is complete, error::need_more until then, or another error of
 /// Beast's HTTP category
--- a/test/gateway/broken_responses_test.cpp
+++ b/test/gateway/broken_responses_test.cpp
@@ -246,6 +246,13 @@
     check_rejected(ok_head + "Transfer-Encoding: gzip\r\nContent-Length: 5\r\n\r\nwhole");
 }
 
+TEST_CASE_FIXTURE(broken_responses_fixture, "response, status beyond 599, reaches no caller") {
+    for (const char* status : {"600", "700", "999"}) {
+        check_rejected("HTTP/1.1 "s + status + " X\r\n" + server_fields +
+                       "Content-Length: 5\r\n\r\nwhole");
+    }
+}
+
 TEST_CASE_FIXTURE(broken_responses_fixture,
                   "stream, malformed head, reaches no caller and is not taken for unexecuted") {
     replace_engines();
--- a/test/http/response_head_test.cpp
+++ b/test/http/response_head_test.cpp
@@ -76,3 +76,15 @@
               beast::http::error::bad_transfer_encoding);
     }
 }
+
+TEST_CASE_FIXTURE(response_head_fixture, "head, status outside 100 to 599, is an error") {
+    for (const char* status : {"100", "200", "599"}) {
+        INFO(std::string{status});
+        CHECK_FALSE(parse(std::string{"HTTP/1.1 "} + status + " X\r\n\r\n", 1000));
+    }
+    for (const char* status : {"000", "001", "099", "600", "999"}) {
+        INFO(std::string{status});
+        CHECK(parse(std::string{"HTTP/1.1 "} + status + " X\r\n\r\n", 1000) ==
+              beast::http::error::bad_status);
+    }
+}
