Forwarding: trailer fields of a response are not fields of its head

A trailer could change what the head states: with a not-executed field in the trailer of a 200 the caller of a request that runs once got 503 "not run" although it had run; with a signature in the trailer an unsigned success was delivered; other trailer fields reached callers as header fields.

Cause: the parser adds trailer fields to the head, and the head was read after the body.

Why it works: the head is copied before the body is read (RFC 9110, 6.5.1: trailer fields must not be merged). Trailers are dropped, as before for streams that had begun. A malformed trailer is still an error.

--- a/src/forwarding/decode_stream.cpp
+++ b/src/forwarding/decode_stream.cpp
@@ -47,7 +47,8 @@
 
 asio::awaitable<bool> forward_events(gateway_state& state, request_context& request,
                                      caller_connection& caller, connection_ptr connection,
-                                     stream_state& stream, std::string events) {
+                                     const field_map& head, stream_state& stream,
+                                     std::string events) {
     if (events.empty()) {
         co_return true;
     }
@@ -55,9 +56,8 @@
     if (!stream.has_started) {
         stream.has_started = true;
         state.placements->on_first_event(request, stream.placement);
-        field_map head = connection->head();
-        remove_connection_fields(head);
-        if (!co_await caller.begin_stream(connection->status(), head)) {
+        const bool is_sent = co_await caller.begin_stream(connection->status(), head);
+        if (!is_sent) {
             co_return false;
         }
     }
@@ -65,9 +65,11 @@
 }
 
 /// Forwards events until the stream ends.
+/// \param head for the caller
 asio::awaitable<decode_attempt> relay_events(gateway_state& state, request_context_ptr request,
                                              caller_connection& caller, connection_ptr connection,
-                                             discovery::backend engine, stream_state& stream) {
+                                             const field_map& head, discovery::backend engine,
+                                             stream_state& stream) {
     const unsigned status = connection->status();
     std::string bytes;
     stall_watch watch{state, request, connection, std::move(engine), [&state, request, &stream] {
@@ -90,7 +92,7 @@
             stream.last_failure = "event without an end";
             co_return decode_attempt{attempt_outcome::broken, status};
         }
-        if (!co_await forward_events(state, *request, caller, connection, stream,
+        if (!co_await forward_events(state, *request, caller, connection, head, stream,
                                      std::move(events))) {
             request->end(request_end_reason::caller_left);
             co_return decode_attempt{attempt_outcome::cut, status};
@@ -224,13 +226,14 @@
         co_return failed;
     }
     stream.execution = execution_state::unknown;
+    // Taken before the body is read: the parser adds trailer fields to the head.
+    field_map head = connection->head();
+    remove_connection_fields(head);
     const decode_attempt result =
-        co_await relay_events(state, request, caller, connection, reservation.engine, stream);
+        co_await relay_events(state, request, caller, connection, head, reservation.engine, stream);
     const bool is_done = result.outcome == attempt_outcome::done;
     if (is_done && !stream.has_started) {
         stream.has_started = true;
-        field_map head = connection->head();
-        remove_connection_fields(head);
         co_await caller.begin_stream(result.status, head);
     }
     release_connection(state, request, connection, result.outcome);
--- a/src/forwarding/exchange.cpp
+++ b/src/forwarding/exchange.cpp
@@ -175,6 +175,8 @@
     response.error = exchange.error;
     const connection_ptr connection = exchange.connection;
     if (!response.error) {
+        // Taken before the body is read: the parser adds trailer fields to the head.
+        response.head = connection->head();
         response.error = co_await read_remaining_body(connection, response.body);
     }
     if (request) {
@@ -185,7 +187,6 @@
         co_return response;
     }
     response.status = connection->status();
-    response.head = connection->head();
     response.metadata = state.wire.parse_response(response.head);
     state.connections.release(connection, state.time.now());
     co_return response;
--- a/test/gateway/broken_responses_test.cpp
+++ b/test/gateway/broken_responses_test.cpp
@@ -391,6 +391,28 @@
               .ends_with("whole"));
 }
 
+// Guards against a trailer that withdraws what the head states.
+TEST_CASE_FIXTURE(broken_responses_fixture,
+                  "response, fields in its trailer, are not taken for fields of its head") {
+    const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n";
+    std::string received =
+        answer_to({ok_head + chunked + "X-Cicadahatch-Not-Executed: 1\r\nX-Other: t\r\n\r\n"});
+    CHECK(status_of(received) == 200);
+    CHECK(received.find("whole") != std::string::npos);
+    CHECK(received.find("X-Other") == std::string::npos);
+    const std::string unsigned_head =
+        "HTTP/1.1 200 OK\r\nX-Cicadahatch-Attempt-Id: {id}\r\nConnection: close\r\n";
+    received = answer_to({unsigned_head + chunked + "X-Cicadahatch-Server-Signature: s\r\n\r\n"});
+    CHECK(status_of(received) == 502);
+
+    replace_engines();
+    decode.set_answer({event_head + "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 0\ndata: 0\n\n\r\n"
+                                    "0\r\nX-Other: t\r\n\r\n"});
+    received = call_stream("/stream/x");
+    CHECK(received.find("id: 0") != std::string::npos);
+    CHECK(received.find("X-Other") == std::string::npos);
+}
+
 TEST_CASE_FIXTURE(broken_responses_fixture, "valid response, unusual head, is delivered") {
     for (const char* fields :
          {"!#$%&'*+-.^_`|~9: v\r\n", "x: \r\n", "X-A:v\r\n", "X-A: \t v \t\r\n",
