HTTP: the client reads responses with Boost.Beast

The product's own interface and the operator's tool took malformed responses: field names with quotes, brackets or a slash, an empty name, "Content-Length : 4", lines that begin with whitespace, "5x" as a length, two different lengths (the first counted), a length beside chunks, statuses beyond 599, chunks cut before the last line end. Callers of plain services got such bodies as answers. Sound responses were lost: one that ends with its connection was an error, as was one after an interim response, with a tab before a value or with a trailer.

Cause: CivetWeb's client parses leniently and removes in place what would show it, so its result can't be checked afterwards.

Ruled out: checking the names that CivetWeb reports. A blank before the colon is gone by then.

Status 000, names with a blank within or a control byte, resets and other cuts were errors before, too; these tests are kept.

Why it works: heads go through parse_response_head() as those of the gateway. blocking_stream gives Beast's blocking reads a deadline without a loop for each connection. A response that arrives whole although the server has stopped reading the request is now returned; one without a length is not, by the same rule as in backend_connection, now is_truncated(). Limits of time: 10 s to connect, 30 s to send, the caller's for the head, 30 s without a byte of a body. Names in certificates are not checked, as before.

--- a/src/engines/internal/event_size_bound.hpp
+++ b/src/engines/internal/event_size_bound.hpp
@@ -7,8 +7,8 @@
 
 /// \brief Lower bound on the number of bytes missing from a partially received event.
 ///
-/// CivetWeb's reads block until all requested bytes have arrived. Requesting no more than this
-/// bound never waits for a byte of the next event, and needs far fewer calls than reading by byte.
+/// Requesting no more than this bound never reads a byte of the next event, and needs far fewer
+/// calls than reading by byte.
 /// \param partial the event received so far, without carriage returns
 /// \returns the bound, at least one
 [[nodiscard]] std::size_t min_remaining_bytes(std::string_view partial);
--- a/src/forwarding/backend_connection.cpp
+++ b/src/forwarding/backend_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "src/forwarding/error.hpp"
 #include "src/http/response_head.hpp"
+#include "src/http/truncation.hpp"
 
 #include <array>
 #include <boost/beast/core/read_size.hpp>
@@ -20,9 +21,6 @@
 /// shortest that the kernel takes.
 constexpr int keepalive_seconds = 1;
 
-/// Response heads hold about ten short fields.
-constexpr std::uint32_t max_response_head_bytes = 16384;
-
 } // namespace
 
 backend_connection::backend_connection(asio::io_context& loop, backend_id id, incarnation started)
@@ -76,13 +74,6 @@
                             });
 }
 
-bool backend_connection::is_truncated_by_reset() const {
-    // A failed connection reports its error once. If the write received it, reads see an ordinary
-    // end of the stream. After the server has ended its side, the write fails with broken_pipe.
-    const bool is_reset = write_error_ && write_error_ != asio::error::broken_pipe;
-    return is_reset && parser_->is_done() && parser_->need_eof();
-}
-
 asio::awaitable<std::error_code> backend_connection::read_head() {
     std::error_code error = co_await read_next_head();
     int interim = 0;
@@ -98,7 +89,7 @@
 
 asio::awaitable<std::error_code> backend_connection::read_next_head() {
     parser_.emplace();
-    parser_->header_limit(max_response_head_bytes);
+    parser_->header_limit(http::max_response_head_bytes);
     // Callers of read_body() bound what they buffer; a stream has no total limit.
     parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
     parser_->skip(is_head_request_);
@@ -131,7 +122,7 @@
         error = {};
     }
     output.append(chunk.data(), chunk.size() - body.size);
-    if (!error && is_truncated_by_reset()) {
+    if (!error && parser_->is_done() && http::is_truncated(*parser_, write_error_)) {
         error = write_error_;
     }
     if (error) {
--- a/src/forwarding/backend_connection.hpp
+++ b/src/forwarding/backend_connection.hpp
@@ -81,9 +81,6 @@
     [[nodiscard]] std::error_code classify_error(const net_error& error) const;
     /// \brief Reads the head of the next response, which may be an interim one.
     [[nodiscard]] asio::awaitable<std::error_code> read_next_head();
-    /// \returns whether a response that ends with the connection was cut off: the connection failed
-    /// while the request was being written
-    [[nodiscard]] bool is_truncated_by_reset() const;
 
     tcp::socket socket_;
     asio::steady_timer deadline_timer_;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,18 +1,35 @@
 #include "src/http/client.hpp"
 
 #include "src/http/error.hpp"
-#include "src/http/internal/body.hpp"
-#include "src/http/internal/library.hpp"
+#include "src/http/internal/blocking_stream.hpp"
+#include "src/http/response_head.hpp"
+#include "src/http/truncation.hpp"
 
 #include <array>
-#include <civetweb.h>
-#include <strings.h>
+#include <boost/asio/ssl.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
+#include <boost/beast/http.hpp>
+#include <limits>
+#include <optional>
+#include <variant>
 
 namespace cicadahatch::http {
 
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
 namespace {
 
-constexpr std::size_t error_text_bytes = 256;
+using boost::system::error_code;
+using internal::blocking_stream;
+using tls_stream = asio::ssl::stream<blocking_stream>;
+using response_parser = beast::http::response_parser<beast::http::buffer_body>;
+using steady = std::chrono::steady_clock;
+
+/// Bytes of a response read at once.
+constexpr std::size_t read_bytes = 16UL * 1024;
 
 std::string render(const request& sent, const std::string& host) {
     std::string text = sent.method + " " + sent.path;
@@ -32,24 +49,29 @@
     return text;
 }
 
-response copy_head(const mg_response_info& info) {
+response copy_head(const response_parser& parser) {
     response head;
-    head.status = info.status_code;
-    for (int index = 0; index < info.num_headers; ++index) {
-        const mg_header& entry = info.http_headers[index];
-        head.headers.push_back({entry.name, entry.value});
+    head.status = static_cast<int>(parser.get().result_int());
+    for (const auto& entry : parser.get()) {
+        head.headers.push_back({std::string{entry.name_string()}, std::string{entry.value()}});
     }
     return head;
 }
 
-bool is_chunked(const response& head) {
-    return find_header(head.headers, "Transfer-Encoding") != nullptr;
-}
-
-bool keeps_open(const response& head, long long announced) {
-    const std::string* connection = find_header(head.headers, "Connection");
-    const bool is_closing = connection != nullptr && strcasecmp(connection->c_str(), "close") == 0;
-    return !is_closing && (announced >= 0 || is_chunked(head));
+/// \returns the settings of a client, or an error of a file
+asio::ssl::context make_tls_context(const client_tls& tls, error_code& error) {
+    asio::ssl::context context{asio::ssl::context::tls_client};
+    context.set_verify_mode(asio::ssl::verify_peer, error);
+    if (!error) {
+        context.load_verify_file(tls.server_ca, error);
+    }
+    if (!error && !tls.certificate.empty()) {
+        context.use_certificate_chain_file(tls.certificate, error);
+    }
+    if (!error && !tls.certificate.empty()) {
+        context.use_private_key_file(tls.certificate, asio::ssl::context::pem, error);
+    }
+    return context;
 }
 
 } // namespace
@@ -58,45 +80,164 @@
     return {"Prefer", std::string{prefer_no_interim}};
 }
 
-void client_connection::closer::operator()(mg_connection* connection) const noexcept {
-    mg_close_connection(connection);
+struct client_connection::connection {
+    /// Connects; in case of an error, the connection is not open.
+    error_code open(const endpoint& place, const client_tls& tls);
+    [[nodiscard]] blocking_stream& transport();
+    [[nodiscard]] error_code write(std::string_view bytes);
+    [[nodiscard]] error_code read_next_head();
+
+    template <class Operation>
+    auto with_stream(Operation operation) {
+        return std::visit(operation, stream);
+    }
+
+    std::string host;
+    std::variant<blocking_stream, tls_stream> stream;
+    beast::flat_buffer buffer{max_unparsed_bytes};
+    std::optional<response_parser> parser;
+    bool is_head_request = false;
+    error_code write_error; ///< of the last request
+    bool is_broken = false; ///< a read has failed
+};
+
+error_code client_connection::connection::open(const endpoint& place, const client_tls& tls) {
+    host = to_string(place);
+    error_code error;
+    const auto address = asio::ip::make_address(place.host, error);
+    if (!error && !tls.server_ca.empty()) {
+        // The stream keeps the context's settings.
+        asio::ssl::context context = make_tls_context(tls, error);
+        stream.emplace<tls_stream>(blocking_stream{}, context);
+    }
+    if (error) {
+        return error;
+    }
+    blocking_stream& lowest = transport();
+    lowest.expires_at(steady::now() + connect_timeout);
+    lowest.connect({address, place.port}, error);
+    if (error) {
+        return error;
+    }
+    error_code ignored; // Only a delay: the connection works without the option.
+    lowest.lowest_layer().set_option(asio::ip::tcp::no_delay(true), ignored);
+    if (auto* secured = std::get_if<tls_stream>(&stream)) {
+        secured->handshake(asio::ssl::stream_base::client, error);
+    }
+    return error;
+}
+
+blocking_stream& client_connection::connection::transport() {
+    auto* secured = std::get_if<tls_stream>(&stream);
+    return secured == nullptr ? std::get<blocking_stream>(stream) : secured->next_layer();
 }
 
+error_code client_connection::connection::write(std::string_view bytes) {
+    transport().expires_at(steady::now() + send_timeout);
+    error_code error;
+    with_stream([&](auto& open) { asio::write(open, asio::buffer(bytes), error); });
+    return error;
+}
+
+error_code client_connection::connection::read_next_head() {
+    parser.emplace();
+    parser->header_limit(max_response_head_bytes);
+    // Callers of read_some() bound what they keep.
+    parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    parser->skip(is_head_request);
+    error_code error = parse_response_head(*parser, buffer);
+    while (error == beast::http::error::need_more) {
+        const auto space = buffer.prepare(beast::read_size(buffer, read_bytes));
+        const std::size_t received =
+            with_stream([&](auto& open) { return open.read_some(space, error); });
+        if (!error) {
+            buffer.commit(received);
+            error = parse_response_head(*parser, buffer);
+        }
+    }
+    return error;
+}
+
+client_connection::client_connection(std::unique_ptr<connection> opened)
+    : connection_(std::move(opened)) {}
+client_connection::client_connection(client_connection&&) noexcept = default;
+client_connection& client_connection::operator=(client_connection&&) noexcept = default;
+client_connection::~client_connection() = default;
+
 result<client_connection> client_connection::open(const endpoint& place, const client_tls& tls) {
-    internal::ensure_library();
-    std::array<char, error_text_bytes> text{};
-    client_connection opened;
-    if (tls.server_ca.empty()) {
-        opened.connection_.reset(
-            mg_connect_client(place.host.c_str(), place.port, 0, text.data(), text.size()));
-    } else {
-        mg_client_options options{};
-        options.host = place.host.c_str();
-        options.port = place.port;
-        options.client_cert = tls.certificate.empty() ? nullptr : tls.certificate.c_str();
-        options.server_cert = tls.server_ca.c_str();
-        opened.connection_.reset(mg_connect_client_secure(&options, text.data(), text.size()));
-    }
-    if (!opened.connection_) {
+    auto opened = std::make_unique<connection>();
+    if (opened->open(place, tls)) {
         return failure(errc::connect_failed);
     }
-    opened.host_ = to_string(place);
-    return opened;
+    return client_connection{std::move(opened)};
 }
 
 result<response> client_connection::call_for_head(const request& sent,
                                                   std::chrono::milliseconds timeout) {
-    const std::string text = render(sent, host_);
-    const int written = mg_write(connection_.get(), text.data(), text.size());
-    if (written != static_cast<int>(text.size())) {
+    connection& used = *connection_;
+    used.is_head_request = sent.method == "HEAD";
+    used.write_error = used.write(render(sent, used.host));
+    used.transport().expires_at(steady::now() + timeout);
+    // A server may respond before it has read the request, and then stop reading it.
+    error_code error = used.read_next_head();
+    int interim = 0;
+    while (!error && is_interim(used.parser->get().result_int()) &&
+           ++interim <= max_interim_responses) {
+        error = used.read_next_head();
+    }
+    const bool is_final = !error && used.parser->get().result_int() >= status_ok;
+    if (is_final && !is_truncated(*used.parser, used.write_error)) {
+        return copy_head(*used.parser);
+    }
+    used.is_broken = true;
+    if (used.write_error) {
         return failure(errc::send_failed);
     }
-    std::array<char, error_text_bytes> error{};
-    const int wait = static_cast<int>(timeout.count());
-    if (mg_get_response(connection_.get(), error.data(), error.size(), wait) < 0) {
-        return failure(errc::response_timeout);
+    return failure(error == beast::error::timeout ? errc::response_timeout : errc::response_broken);
+}
+
+result<std::size_t> client_connection::read_some(char* bytes, std::size_t size) {
+    connection& used = *connection_;
+    auto& body = used.parser->get().body();
+    body.data = bytes;
+    body.size = size;
+    error_code error;
+    while (!error && body.size == size && !used.parser->is_done()) {
+        used.transport().expires_at(steady::now() + max_body_silence);
+        used.with_stream(
+            [&](auto& open) { beast::http::read_some(open, used.buffer, *used.parser, error); });
     }
-    return copy_head(*mg_get_response_info(connection_.get()));
+    if (error && error != beast::http::error::need_buffer) {
+        used.is_broken = true;
+        return failure(errc::response_broken);
+    }
+    return size - body.size;
+}
+
+result<std::string> client_connection::read_rest(std::size_t max_bytes) {
+    std::string body;
+    std::array<char, read_bytes> bytes; // NOLINT(cppcoreguidelines-pro-type-member-init): read into
+    while (true) {
+        const auto received = read_some(bytes.data(), bytes.size());
+        if (!received) {
+            return tl::unexpected(received.error());
+        }
+        if (*received == 0) {
+            return body;
+        }
+        body.append(bytes.data(), *received);
+        if (body.size() > max_bytes) {
+            connection_->is_broken = true;
+            return failure(errc::response_broken);
+        }
+    }
+}
+
+bool client_connection::is_reusable() const {
+    const connection& used = *connection_;
+    const bool is_complete = used.parser && used.parser->is_done();
+    return is_complete && !used.write_error && !used.is_broken && used.parser->keep_alive() &&
+           used.buffer.size() == 0;
 }
 
 result<response> client_connection::call(const request& sent, std::chrono::milliseconds timeout,
@@ -105,12 +246,10 @@
     if (!head) {
         return head;
     }
-    const long long announced = mg_get_response_info(connection_.get())->content_length;
-    auto body = internal::read_body(connection_.get(), announced, max_body_bytes);
+    auto body = read_rest(max_body_bytes);
     if (!body) {
-        return failure(errc::response_broken);
+        return tl::unexpected(body.error());
     }
-    is_reusable_ = keeps_open(*head, announced);
     head->body = std::move(*body);
     return head;
 }
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -3,7 +3,6 @@
 #include "src/core/result.hpp"
 #include "src/http/constants.hpp"
 #include "src/http/endpoint.hpp"
-#include "src/http/forward_declarations.hpp"
 #include "src/http/message.hpp"
 
 #include <chrono>
@@ -20,17 +19,16 @@
     std::string server_ca;   ///< authority of the server's certificate; empty: no TLS
 };
 
-/// \brief One kept connection to a server. Used by one thread at a time.
+/// \brief One kept connection to a server. Used by one thread at a time; its functions block.
 ///
-/// CivetWeb's client can't read past an interim response, so a caller that uses this class asks
-/// the server for none with no_interim().
+/// Interim responses are dropped.
 class client_connection {
 public:
-    client_connection(client_connection&&) = default;
-    client_connection& operator=(client_connection&&) = default;
+    client_connection(client_connection&&) noexcept;
+    client_connection& operator=(client_connection&&) noexcept;
     client_connection(const client_connection&) = delete;
     client_connection& operator=(const client_connection&) = delete;
-    ~client_connection() = default;
+    ~client_connection();
 
     /// \returns an open connection, or errc::connect_failed
     [[nodiscard]] static result<client_connection> open(const endpoint& place,
@@ -44,23 +42,27 @@
                                         std::size_t max_body_bytes = max_response_bytes);
 
     /// \brief Sends a request and reads the head of the response; the body stays to be read.
+    /// \returns errc::send_failed, errc::response_timeout or errc::response_broken on failure
     [[nodiscard]] result<response> call_for_head(const request& sent,
                                                  std::chrono::milliseconds timeout);
 
-    /// \returns CivetWeb's connection, for reading the body after call_for_head()
-    [[nodiscard]] mg_connection* native() const noexcept { return connection_.get(); }
+    /// \brief Waits for bytes of the body after call_for_head().
+    /// \returns their number; zero at the end of the body; errc::response_broken if the response is
+    /// broken off or the server is silent for max_body_silence
+    [[nodiscard]] result<std::size_t> read_some(char* bytes, std::size_t size);
+
+    /// \brief Reads the rest of the body.
+    /// \returns errc::response_broken as read_some(), or for a longer body
+    [[nodiscard]] result<std::string> read_rest(std::size_t max_bytes);
+
     /// \returns whether the server keeps the connection open after the last call
-    [[nodiscard]] bool is_reusable() const noexcept { return is_reusable_; }
+    [[nodiscard]] bool is_reusable() const;
 
 private:
-    struct closer {
-        void operator()(mg_connection* connection) const noexcept;
-    };
-    client_connection() = default;
-
-    std::unique_ptr<mg_connection, closer> connection_;
-    std::string host_;
-    bool is_reusable_ = true;
+    struct connection;
+    explicit client_connection(std::unique_ptr<connection> opened);
+
+    std::unique_ptr<connection> connection_;
 };
 
 /// \brief Sends one request on a connection of its own.
--- a/src/http/constants.hpp
+++ b/src/http/constants.hpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <string_view>
 
 namespace cicadahatch::http {
@@ -22,6 +23,16 @@
 /// Time for which a server keeps an idle connection.
 inline constexpr std::chrono::milliseconds default_keep_alive{30'000};
 
+/// Time in which a client connects to a server, and then sends a request.
+inline constexpr std::chrono::milliseconds connect_timeout{10'000};
+inline constexpr std::chrono::milliseconds send_timeout{30'000};
+
+/// Time without a byte of a body after which a client gives the response up.
+inline constexpr std::chrono::milliseconds max_body_silence{30'000};
+
+/// Longer heads of responses are errors; they hold about ten short fields.
+inline constexpr std::uint32_t max_response_head_bytes = 16384;
+
 /// Preference (RFC 7240) of a caller whose client can't read interim responses.
 inline constexpr std::string_view prefer_no_interim = "no-interim";
 
--- a/src/http/response_stream.cpp
+++ b/src/http/response_stream.cpp
@@ -1,10 +1,8 @@
 #include "src/http/response_stream.hpp"
 
 #include "src/http/error.hpp"
-#include "src/http/internal/body.hpp"
 
 #include <algorithm>
-#include <civetweb.h>
 #include <utility>
 
 namespace cicadahatch::http {
@@ -25,9 +23,8 @@
 result<std::string> response_stream::read_line(std::size_t max_bytes) {
     std::string line;
     while (line.size() <= max_bytes) {
-        // CivetWeb blocks until the whole of a larger read has come, which would hold tokens back.
         char next = '\0';
-        if (mg_read(connection_.native(), &next, 1) != 1) {
+        if (connection_.read_some(&next, 1).value_or(0) == 0) {
             return failure(errc::response_broken);
         }
         if (next == '\n') {
@@ -40,14 +37,14 @@
     return failure(errc::header_too_large);
 }
 
-bool response_stream::read_more(std::size_t count) {
+result<std::size_t> response_stream::read_more(std::size_t count) {
     const std::size_t before = pending_.size();
     pending_.resize(before + count);
-    const int got = mg_read(connection_.native(), pending_.data() + before, count);
-    pending_.resize(before + static_cast<std::size_t>(std::max(got, 0)));
+    const auto received = connection_.read_some(pending_.data() + before, count);
+    pending_.resize(before + received.value_or(0));
     const auto added = pending_.begin() + static_cast<std::ptrdiff_t>(before);
     pending_.erase(std::remove(added, pending_.end(), '\r'), pending_.end());
-    return got > 0;
+    return received;
 }
 
 result<std::string> response_stream::read_event(std::size_t max_bytes,
@@ -60,7 +57,11 @@
             pending_.erase(0, end + event_end.size());
             return event;
         }
-        if (read_more(surely_to_come(pending_))) {
+        const auto received = read_more(surely_to_come(pending_));
+        if (!received) {
+            return tl::unexpected(received.error());
+        }
+        if (*received > 0) {
             continue;
         }
         const bool is_whole_line = !pending_.empty() && pending_.back() == '\n';
@@ -74,8 +75,7 @@
 
 result<std::string> response_stream::read_rest() {
     constexpr std::size_t max_bytes = 1024UL * 1024;
-    const long long announced = mg_get_response_info(connection_.native())->content_length;
-    return internal::read_body(connection_.native(), announced, max_bytes);
+    return connection_.read_rest(max_bytes);
 }
 
 } // namespace cicadahatch::http
--- a/src/http/response_stream.hpp
+++ b/src/http/response_stream.hpp
@@ -22,7 +22,7 @@
     /// \brief Waits for the next line.
     /// \param max_bytes longest accepted line
     /// \returns the line without its end, errc::response_broken at the end of the body or after
-    /// CivetWeb's own receive timeout, or errc::header_too_large
+    /// max_body_silence, or errc::header_too_large
     [[nodiscard]] result<std::string> read_line(std::size_t max_bytes);
 
     /// \brief Waits for the next server-sent event.
@@ -41,7 +41,8 @@
     response_stream(client_connection connection, response head)
         : connection_(std::move(connection)), head_(std::move(head)) {}
 
-    [[nodiscard]] bool read_more(std::size_t count);
+    /// \returns the number of bytes read, zero at the end of the body
+    [[nodiscard]] result<std::size_t> read_more(std::size_t count);
 
     client_connection connection_;
     response head_;
--- a/src/http/timed_client.hpp
+++ b/src/http/timed_client.hpp
@@ -12,8 +12,8 @@
 /// \brief One kept connection to a server whose calls are bounded as a whole: connecting, sending
 /// and receiving together.
 ///
-/// client_connection leaves the time of connecting to the system, which takes seconds where
-/// packets get lost. A call that fails closes the connection. Used by one thread at a time.
+/// client_connection bounds each of these by itself, and connecting by seconds. A call that fails
+/// closes the connection. Used by one thread at a time.
 class timed_client {
 public:
     explicit timed_client(endpoint place);
--- a/src/store/internal/watch_reader.hpp
+++ b/src/store/internal/watch_reader.hpp
@@ -12,9 +12,9 @@
 
 /// \brief Reads one watch stream on a thread of its own and keeps its changes until taken.
 ///
-/// CivetWeb's read can't be interrupted from outside and returns only with data or after its own
-/// timeout. So the thread shares ownership of this object and is never joined: stop() lets it end
-/// by itself, and it touches nothing else.
+/// A blocking read can't be interrupted from outside and returns only with data or after
+/// http::max_body_silence. So the thread shares ownership of this object and is never joined:
+/// stop() lets it end by itself, and it touches nothing else.
 class watch_reader : public std::enable_shared_from_this<watch_reader> {
 public:
     /// \param timeout longest wait for the stream's head
--- a/test/support/raw_server.cpp
+++ b/test/support/raw_server.cpp
@@ -117,6 +117,14 @@
     return {"127.0.0.1", parts_->acceptor.local_endpoint().port()};
 }
 
+std::string join(std::initializer_list<std::string_view> parts) {
+    std::string joined;
+    for (const std::string_view part : parts) {
+        joined.append(part);
+    }
+    return joined;
+}
+
 std::string raw_field(const std::string& head, const std::string& name) {
     const std::string begin_of_line = "\r\n" + name + ": ";
     const std::size_t at = head.find(begin_of_line);
--- a/test/support/raw_server.hpp
+++ b/test/support/raw_server.hpp
@@ -47,6 +47,9 @@
     std::unique_ptr<parts> parts_;
 };
 
+/// \returns the parts as one text
+[[nodiscard]] std::string join(std::initializer_list<std::string_view> parts);
+
 /// \returns the value of a field in a head as sent, or an empty text
 [[nodiscard]] std::string raw_field(const std::string& head, const std::string& name);
 
