Tests: join parts of responses without temporary strings

The checks are the same; streams, holds and prefills get two more malformed heads, and heads without an end get a test.

--- a/test/gateway/broken_responses_test.cpp
+++ b/test/gateway/broken_responses_test.cpp
@@ -2,6 +2,7 @@
 #include "test/support/raw_server.hpp"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 namespace {
 
@@ -10,6 +11,7 @@
 using namespace cicadahatch;
 using test_support::eventually;
 using test_support::gateway_fixture;
+using test_support::join;
 using test_support::raw_answer;
 using test_support::raw_field;
 using test_support::raw_server;
@@ -148,7 +150,9 @@
     }
     /// The server answers with these bytes; callers of a request that runs once and of one that may
     /// be repeated must get 502, and the former's server exactly one request.
-    void check_rejected(const std::string& bytes) {
+    /// \param parts of the bytes
+    void check_rejected(std::initializer_list<std::string_view> parts) {
+        const std::string bytes = join(parts);
         INFO(bytes);
         plain.set_answer({bytes});
         const std::size_t before = plain.count("POST /book/x");
@@ -167,28 +171,10 @@
 };
 
 /// Lines of a head that are not header fields (RFC 9112, 5.1).
-const std::vector<std::string> malformed_lines = {"X A: v",
-                                                  "X\tA: v",
-                                                  "X\0A: v"s,
-                                                  "X\x01"
-                                                  "A: v",
-                                                  "X\x0b"
-                                                  "A: v",
-                                                  "X\x1f"
-                                                  "A: v",
-                                                  "X\x7f"
-                                                  "A: v",
-                                                  "X\xe9"
-                                                  "A: v",
-                                                  "X\rA: v",
-                                                  "X\nA: v",
-                                                  "\"X\": v",
-                                                  "X[A: v",
-                                                  "X/A: v",
-                                                  ": v",
-                                                  "no colon",
-                                                  "X-A : v",
-                                                  "X-A\t: v"};
+const std::vector<std::string> malformed_lines = {
+    "X A: v",    "X\tA: v",   "X\0A: v"s, "X\x01Y: v", "X\x0bY: v", "X\x1fY: v",
+    "X\x7fY: v", "X\xe9Y: v", "X\rA: v",  "X\nA: v",   "\"X\": v",  "X[A: v",
+    "X/A: v",    ": v",       "no colon", "X-A : v",   "X-A\t: v"};
 
 /// Field lines that begin with whitespace: obsolete line folding (RFC 9112, 5.2).
 const std::vector<std::string> folded_lines = {" Content-Length: 4",
@@ -198,28 +184,32 @@
                                                " : v",
                                                " "};
 
+const std::vector<std::string> malformed_heads = {
+    "HTTP/1.1 000 OK\r\n" + server_fields, "HTTP/1.1 700 OK\r\n" + server_fields,
+    ok_head + "X A: v\r\n", ok_head + "X\x01: v\r\n", ok_head + "X-A: b\r\n X-B: c\r\n"};
+
 } // namespace
 
 TEST_CASE_FIXTURE(broken_responses_fixture,
                   "response, status of other than three digits from 100 on, reaches no caller") {
     for (const char* status :
          {"000", "001", "099", "20", "2000", "+20", "-20", "2x0", "20 ", "", "0x0"}) {
-        const std::string line = "HTTP/1.1 "s + status + " OK\r\n";
-        check_rejected(line + server_fields + "Content-Length: 5\r\n\r\nwhole");
-        check_rejected(line + server_fields + "\r\nwhole");
+        const std::string line = join({"HTTP/1.1 ", status, " OK\r\n"});
+        check_rejected({line, server_fields, "Content-Length: 5\r\n\r\nwhole"});
+        check_rejected({line, server_fields, "\r\nwhole"});
     }
-    check_rejected("HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n");
-    check_rejected("HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 000 X\r\n" + server_fields +
-                   "Content-Length: 5\r\n\r\nwhole");
+    check_rejected({"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n"});
+    check_rejected({"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 000 X\r\n", server_fields,
+                    "Content-Length: 5\r\n\r\nwhole"});
 }
 
 TEST_CASE_FIXTURE(broken_responses_fixture,
                   "response, malformed field line in a head or trailer, reaches no caller") {
     for (const std::string& line : malformed_lines) {
-        check_rejected(ok_head + line + "\r\nContent-Length: 5\r\n\r\nwhole");
-        check_rejected("HTTP/1.1 102 Processing\r\n" + line + "\r\n\r\n" + whole_answer);
-        check_rejected(ok_head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n" + line +
-                       "\r\n\r\n");
+        check_rejected({ok_head, line, "\r\nContent-Length: 5\r\n\r\nwhole"});
+        check_rejected({"HTTP/1.1 102 Processing\r\n", line, "\r\n\r\n", whole_answer});
+        check_rejected(
+            {ok_head, "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n", line, "\r\n\r\n"});
     }
 }
 
@@ -227,10 +217,10 @@
                   "response, field line that begins with whitespace, reaches no caller") {
     for (const std::string& line : folded_lines) {
         const std::string rest = "Content-Length: 5\r\n\r\nwhole";
-        check_rejected("HTTP/1.1 200 OK\r\n" + line + "\r\n" + server_fields + rest);
-        check_rejected(ok_head + line + "\r\n" + rest);
-        check_rejected(ok_head + "X-A: b\r\n" + line + "\r\n\r\nwhole");
-        check_rejected("HTTP/1.1 102 Processing\r\nX-A: b\r\n" + line + "\r\n\r\n" + whole_answer);
+        check_rejected({"HTTP/1.1 200 OK\r\n", line, "\r\n", server_fields, rest});
+        check_rejected({ok_head, line, "\r\n", rest});
+        check_rejected({ok_head, "X-A: b\r\n", line, "\r\n\r\nwhole"});
+        check_rejected({"HTTP/1.1 102 Processing\r\nX-A: b\r\n", line, "\r\n\r\n", whole_answer});
     }
 }
 
@@ -239,27 +229,26 @@
     const std::string chunked_body = "\r\n5\r\nwhole\r\n0\r\n\r\n";
     for (const char* codings :
          {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "identity", "x"}) {
-        check_rejected(ok_head + "Transfer-Encoding: " + codings + "\r\n" + chunked_body);
+        check_rejected({ok_head, "Transfer-Encoding: ", codings, "\r\n", chunked_body});
     }
-    check_rejected(ok_head + "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n" +
-                   chunked_body);
-    check_rejected(ok_head + "Transfer-Encoding: gzip\r\nContent-Length: 5\r\n\r\nwhole");
+    check_rejected(
+        {ok_head, "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n", chunked_body});
+    check_rejected({ok_head, "Transfer-Encoding: gzip\r\nContent-Length: 5\r\n\r\nwhole"});
 }
 
 TEST_CASE_FIXTURE(broken_responses_fixture, "response, status beyond 599, reaches no caller") {
     for (const char* status : {"600", "700", "999"}) {
-        check_rejected("HTTP/1.1 "s + status + " X\r\n" + server_fields +
-                       "Content-Length: 5\r\n\r\nwhole");
+        check_rejected(
+            {"HTTP/1.1 ", status, " X\r\n", server_fields, "Content-Length: 5\r\n\r\nwhole"});
     }
 }
 
 TEST_CASE_FIXTURE(broken_responses_fixture,
                   "stream, malformed head, reaches no caller and is not taken for unexecuted") {
     replace_engines();
-    for (const std::string& head : {"HTTP/1.1 000 OK\r\n" + server_fields, ok_head + "X A: v\r\n",
-                                    ok_head + "X\x01: v\r\n"}) {
+    for (const std::string& head : malformed_heads) {
         INFO(head);
-        decode.set_answer({head + "\r\nid: 0\ndata: 0\n\n"});
+        decode.set_answer({join({head, "\r\nid: 0\ndata: 0\n\n"})});
         CHECK(status_of(call_stream("/stream/x")) == 502);
         decode.set_answer(sound_stream());
         REQUIRE(eventually([this] { return is_complete_stream(call_stream("/stream/x")); }));
@@ -270,10 +259,9 @@
                   "hold or prefill, malformed head, its result is not used") {
     replace_engines();
     const std::string result = R"({"hold":"h-broken","kvHandle":"k-broken"})";
-    for (const std::string& head : {"HTTP/1.1 000 OK\r\n" + server_fields, ok_head + "X A: v\r\n",
-                                    ok_head + "X\x01: v\r\n"}) {
+    for (const std::string& head : malformed_heads) {
         INFO(head);
-        const raw_answer broken{head + "\r\n" + result};
+        const raw_answer broken{join({head, "\r\n", result})};
         prefill.set_answer(broken);
         REQUIRE(stream_reaches(prefill, "/stream/x"));
         prefill.set_answer(sound_prefill());
@@ -291,8 +279,8 @@
         for (const char* body : {"", "part"}) {
             for (const char* version : {"HTTP/1.1", "HTTP/1.0"}) {
                 INFO(static_cast<int>(end), std::string{body}, std::string{version});
-                const raw_answer early{version + ok_head.substr(8) + "\r\n" + body, end, true, 0ms,
-                                       60ms};
+                const raw_answer early{join({version, ok_head.substr(8), "\r\n", body}), end, true,
+                                       0ms, 60ms};
                 const std::size_t before = plain.count("POST /book/x");
                 CHECK(status_of(answer_to(early, long_upload())) == 502);
                 CHECK(plain.count("POST /book/x") == before + 1);
@@ -419,7 +407,7 @@
           "X-A: caf\xe9 \"q\" /[]\r\n", "X-A: 1\r\nX-A: 2\r\n"}) {
         INFO(std::string{fields});
         const std::string received =
-            answer_to({ok_head + fields + "Content-Length: 5\r\n\r\nwhole"});
+            answer_to({join({ok_head, fields, "Content-Length: 5\r\n\r\nwhole"})});
         CHECK(status_of(received) == 200);
         CHECK(received.ends_with("whole"));
     }
--- a/test/http/response_head_test.cpp
+++ b/test/http/response_head_test.cpp
@@ -1,12 +1,16 @@
 #include "src/http/response_head.hpp"
 
+#include "src/http/constants.hpp"
+
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <doctest/doctest.h>
+#include <optional>
 
 namespace {
 
 using namespace cicadahatch;
+using namespace std::string_literals;
 namespace beast = boost::beast;
 
 struct response_head_fixture {
@@ -88,3 +92,18 @@
               beast::http::error::bad_status);
     }
 }
+
+// Guards against readers that wait for more although their buffer is full.
+TEST_CASE_FIXTURE(response_head_fixture,
+                  "head, endless part, is an error before the buffer is full") {
+    const std::string endless(1'000'000, 'x');
+    const std::string fields = "HTTP/1.1 200 OK\r\n";
+    for (const std::string& begin :
+         {""s, "HTTP/"s, "HTTP/1.1 200 "s, fields, fields + "X-A: "s, fields + "X-A: b\r\n "s}) {
+        INFO(begin);
+        received = beast::flat_buffer{http::max_unparsed_bytes};
+        const auto error = parse(begin + endless, 1000);
+        CHECK(error.failed());
+        CHECK(error != beast::http::error::need_more);
+    }
+}
--- a/test/platform/kv_store_test.cpp
+++ b/test/platform/kv_store_test.cpp
@@ -163,7 +163,7 @@
           "HTTP/1.1 200 OK\r\n X: v\r\n", "HTTP/1.1 200 OK\r\nX: v\r\n Store-Era: 2\r\n",
           "HTTP/1.1 102 Processing\r\nX: v\r\n Y: v\r\n\r\nHTTP/1.1 200 OK\r\n"}) {
         INFO(std::string{head});
-        answer.bytes = head + length + "\r\n" + body;
+        answer.bytes = test_support::join({head, length, "\r\n", body});
         CHECK(list_error() == errc::unavailable);
         CHECK(swap_error(1) == errc::outcome_unknown);
     }
