HTTP: the context of blocking sockets is never destroyed

Found by reading: threads that read watches are detached and may use their sockets while static objects are destroyed at exit. connect_outcome() is split off.

--- a/src/http/internal/blocking_stream.cpp
+++ b/src/http/internal/blocking_stream.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/error.hpp>
 #include <cerrno>
+#include <limits>
 #include <sys/socket.h>
 
 namespace cicadahatch::http::internal {
@@ -12,16 +13,27 @@
 
 namespace {
 
-/// Sockets need a context; one that never runs serves all blocking ones.
+/// Sockets need a context; one that never runs serves all blocking ones. It is never destroyed, as
+/// detached threads may still use their sockets when the process exits.
 asio::io_context& blocking_context() {
-    static asio::io_context context;
-    return context;
+    static auto* const context = new asio::io_context; // NOLINT(cppcoreguidelines-owning-memory)
+    return *context;
 }
 
 boost::system::error_code last_error() {
     return {errno, boost::system::system_category()};
 }
 
+/// \returns the outcome of a connect that has ended
+boost::system::error_code connect_outcome(int descriptor) {
+    int outcome = 0;
+    socklen_t size = sizeof outcome;
+    if (::getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &outcome, &size) != 0) {
+        return last_error();
+    }
+    return {outcome, boost::system::system_category()};
+}
+
 } // namespace
 
 blocking_stream::blocking_stream() : socket_(blocking_context()) {}
@@ -35,24 +47,15 @@
         return;
     }
     // The socket's own connect() waits without a limit.
-    if (::connect(socket_.native_handle(), remote.data(), static_cast<socklen_t>(remote.size())) ==
-        0) {
+    const auto address_bytes = static_cast<socklen_t>(remote.size());
+    if (::connect(socket_.native_handle(), remote.data(), address_bytes) == 0) {
         return;
     }
     if (errno != EINPROGRESS) {
         error = last_error();
-        return;
-    }
-    if (!wait(POLLOUT, error)) {
-        return;
-    }
-    int outcome = 0;
-    socklen_t size = sizeof outcome;
-    if (::getsockopt(socket_.native_handle(), SOL_SOCKET, SO_ERROR, &outcome, &size) != 0) {
-        error = last_error();
-        return;
+    } else if (wait(POLLOUT, error)) {
+        error = connect_outcome(socket_.native_handle());
     }
-    error.assign(outcome, boost::system::system_category());
 }
 
 bool blocking_stream::wait(short events, error_code& error) {
