HTTP: a kept connection that has received something is not used again

A server's second copy of a response, sent after the first, was the answer to the next call on the connection: to another call of an engine or of the store of the product's own interface.

Cause: client_pool handed kept connections out without a look at what they had received meanwhile.

Why it works: a connection that has received bytes or its end while idle is dropped, by the check that the gateway's pool makes, now shared.

--- a/src/forwarding/backend_connection.cpp
+++ b/src/forwarding/backend_connection.cpp
@@ -1,6 +1,7 @@
 #include "src/forwarding/backend_connection.hpp"
 
 #include "src/forwarding/error.hpp"
+#include "src/http/idle_connection.hpp"
 #include "src/http/response_head.hpp"
 #include "src/http/truncation.hpp"
 
@@ -178,9 +179,7 @@
 }
 
 bool backend_connection::is_idle_alive() {
-    char byte = 0;
-    const ssize_t received = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return http::is_idle_alive(socket_.native_handle());
 }
 
 std::optional<std::chrono::seconds> backend_connection::idle_timeout() const {
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,6 +1,7 @@
 #include "src/http/client.hpp"
 
 #include "src/http/error.hpp"
+#include "src/http/idle_connection.hpp"
 #include "src/http/internal/blocking_stream.hpp"
 #include "src/http/response_head.hpp"
 #include "src/http/truncation.hpp"
@@ -240,6 +241,10 @@
            used.buffer.size() == 0;
 }
 
+bool client_connection::is_idle_alive() const {
+    return http::is_idle_alive(connection_->transport().lowest_layer().native_handle());
+}
+
 result<response> client_connection::call(const request& sent, std::chrono::milliseconds timeout,
                                          std::size_t max_body_bytes) {
     auto head = call_for_head(sent, timeout);
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -58,6 +58,9 @@
     /// \returns whether the server keeps the connection open after the last call
     [[nodiscard]] bool is_reusable() const;
 
+    /// \returns whether the idle connection is still open and has received nothing
+    [[nodiscard]] bool is_idle_alive() const;
+
 private:
     struct connection;
     explicit client_connection(std::unique_ptr<connection> opened);
--- a/src/http/client_pool.cpp
+++ b/src/http/client_pool.cpp
@@ -36,8 +36,11 @@
     const std::lock_guard lock{mutex_};
     std::vector<client_connection> taken;
     auto& kept = idle_[place];
-    if (!kept.empty()) {
-        taken.push_back(std::move(kept.back()));
+    while (!kept.empty() && taken.empty()) {
+        // What has come since the last response belongs to no later call.
+        if (kept.back().is_idle_alive()) {
+            taken.push_back(std::move(kept.back()));
+        }
         kept.pop_back();
     }
     return taken;
--- a/test/http/client_test.cpp
+++ b/test/http/client_test.cpp
@@ -2,6 +2,7 @@
 #include "test/support/raw_server.hpp"
 
 #include <doctest/doctest.h>
+#include <thread>
 
 namespace {
 
@@ -160,6 +161,20 @@
     CHECK(next->body == "next");
 }
 
+TEST_CASE_FIXTURE(
+    client_fixture,
+    "client_pool, second copy of a response comes late, is no answer to the next call") {
+    http::client_pool pool;
+    answer = {ok_line + counted, ending::keep, false, 0ms, 20ms, ok_line + counted};
+    const http::request sent{"GET", "/x", "", {}, ""};
+    REQUIRE(pool.call(server.place(), sent, 5s));
+    std::this_thread::sleep_for(200ms);
+    answer = {ok_line + "Content-Length: 4\r\n\r\nnext", ending::keep};
+    const auto next = pool.call(server.place(), sent, 5s);
+    REQUIRE(next);
+    CHECK(next->body == "next");
+}
+
 TEST_CASE_FIXTURE(client_fixture, "response_stream, reset between two events, is not at its end") {
     answer = {ok_line + "\r\ndata: one\n\n", ending::reset, false, 0ms, 60ms};
     auto stream = http::response_stream::open(server.place(), {"GET", "/x", "", {}, ""}, 5s);
--- a/test/support/raw_server.cpp
+++ b/test/support/raw_server.cpp
@@ -71,6 +71,7 @@
         co_await wait_for(socket, made.delay);
         co_await asio::async_write(socket, asio::buffer(made.bytes), capture_error(error));
         co_await wait_for(socket, made.pause);
+        co_await asio::async_write(socket, asio::buffer(made.late_bytes), capture_error(error));
         is_open = co_await end_connection(socket, made.end);
     }
 }
--- a/test/support/raw_server.hpp
+++ b/test/support/raw_server.hpp
@@ -22,6 +22,7 @@
     bool is_early = false; ///< sent once the head of the request has come; the body stays unread
     std::chrono::milliseconds delay{0}; ///< before the bytes are sent
     std::chrono::milliseconds pause{0}; ///< between the bytes and the end of the connection
+    std::string late_bytes{};           ///< sent after the pause
 };
 
 /// \brief A server that answers requests with any bytes, on a thread of its own. Its receive
