HTTP: a kept connection to the store that has received something is not used again

A second copy of a reply of the platform's store was taken as the reply to the next call: a listing with another revision, or the outcome of another write.

Cause: timed_client kept the bytes behind a reply, and those that came later, for the next call.

Evidence: platform.kv_store, "second copy", failed before whether the copy came at once or 20 ms later.

Why it works: a connection that has received bytes or its end while idle is closed before a call. A write no longer goes to a connection that the store has closed, where its outcome was unknown.

--- a/src/http/timed_client.cpp
+++ b/src/http/timed_client.cpp
@@ -2,6 +2,7 @@
 
 #include "src/http/constants.hpp"
 #include "src/http/error.hpp"
+#include "src/http/idle_connection.hpp"
 #include "src/http/response_head.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -101,6 +102,11 @@
         return error;
     }
 
+    /// \returns whether the open connection has received nothing since the last response
+    [[nodiscard]] bool is_idle_alive() {
+        return buffer.size() == 0 && http::is_idle_alive(stream->socket().native_handle());
+    }
+
     void close() {
         stream.reset();
         buffer.clear();
@@ -120,6 +126,9 @@
 result<response> timed_client::call(const request& sent, std::chrono::milliseconds timeout,
                                     bool is_repeatable) {
     connection& used = *connection_;
+    if (used.stream != nullptr && !used.is_idle_alive()) {
+        used.close();
+    }
     const bool was_kept = used.stream != nullptr;
     const auto ends = std::chrono::steady_clock::now() + timeout;
     if (!was_kept) {
--- a/test/platform/kv_store_test.cpp
+++ b/test/platform/kv_store_test.cpp
@@ -5,6 +5,7 @@
 #include "test/support/raw_server.hpp"
 
 #include <doctest/doctest.h>
+#include <thread>
 
 namespace {
 
@@ -183,6 +184,26 @@
     CHECK_FALSE(swap_error(1'000'000));
 }
 
+TEST_CASE_FIXTURE(broken_store_fixture,
+                  "calls, second copy of a reply, is not the reply to the next call") {
+    using ending = test_support::raw_answer::ending;
+    const auto reply = [](const std::string& revision) {
+        const std::string body =
+            R"({"items":[],"storeRevision":)" + revision + R"(,"revision":)" + revision + "}";
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+               body;
+    };
+    const auto revision_listed = [this] { return store.list("").value().at; };
+    for (const auto pause : {0ms, 20ms}) {
+        INFO(pause.count());
+        answer = {reply("7"), ending::keep, false, 0ms, pause, reply("7")};
+        REQUIRE(revision_listed() == revision{7});
+        std::this_thread::sleep_for(100ms);
+        answer = {reply("8"), ending::keep};
+        CHECK(revision_listed() == revision{8});
+    }
+}
+
 // Guards against changes that are missed because revisions are counted again after a restore.
 TEST_CASE_FIXTURE(restored_store_fixture,
                   "watch, store restored and past that revision again, returns compacted") {
