HTTP: trailer fields of the store's replies are not fields of their head

A Store-Era field in a trailer was taken as the store's generation, after which replies without the field were errors.

Cause: the parser adds trailer fields to the head, and the client copied it after the body.

Why it works: the fields are copied before the body is read, as for the servers' responses.

--- a/src/http/timed_client.cpp
+++ b/src/http/timed_client.cpp
@@ -41,15 +41,12 @@
     return made;
 }
 
-response from_beast(beast_parser& parser) {
-    response read;
-    auto message = parser.release();
-    read.status = static_cast<int>(message.result_int());
-    for (const auto& entry : message) {
-        read.headers.push_back({std::string{entry.name_string()}, std::string{entry.value()}});
+header_list copy_fields(const beast::http::fields& head) {
+    header_list copied;
+    for (const auto& entry : head) {
+        copied.push_back({std::string{entry.name_string()}, std::string{entry.value()}});
     }
-    read.body = std::move(message.body());
-    return read;
+    return copied;
 }
 
 } // namespace
@@ -87,13 +84,16 @@
     }
 
     /// Reads the response that follows any interim ones, and counts these.
-    boost::system::error_code read(std::optional<beast_parser>& parser, int& interim) {
+    boost::system::error_code read(std::optional<beast_parser>& parser, header_list& fields,
+                                   int& interim) {
         boost::system::error_code error;
         do {
             parser.emplace();
             parser->body_limit(max_response_bytes);
             error = read_head(*parser);
             if (!error) {
+                // Taken before the body is read: the parser adds trailer fields to the head.
+                fields = copy_fields(parser->get());
                 error = run(
                     [&](auto done) { beast::http::async_read(*stream, buffer, *parser, done); });
             }
@@ -152,15 +152,17 @@
     boost::system::error_code error =
         used.run([&](auto done) { beast::http::async_write(*used.stream, message, done); });
     std::optional<beast_parser> parser;
+    header_list fields;
     int interim = 0;
     if (!error) {
-        error = used.read(parser, interim);
+        error = used.read(parser, fields, interim);
     }
     if (!error && parser->get().result_int() >= status_ok) {
         if (!parser->keep_alive()) {
             used.close();
         }
-        return from_beast(*parser);
+        const int status = static_cast<int>(parser->get().result_int());
+        return response{status, std::move(fields), std::move(parser->get().body())};
     }
     used.close();
     const bool has_received = interim > 0 || (parser && parser->got_some());
--- a/test/platform/kv_store_test.cpp
+++ b/test/platform/kv_store_test.cpp
@@ -184,6 +184,16 @@
     CHECK_FALSE(swap_error(1'000'000));
 }
 
+TEST_CASE_FIXTURE(broken_store_fixture, "calls, generation in a trailer, is not taken from it") {
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string chunks = "1e\r\n{\"items\":[],\"storeRevision\":7}\r\n0\r\n";
+    answer.bytes = head + chunks + "Store-Era: 2\r\n\r\n";
+    REQUIRE_FALSE(list_error());
+    answer.bytes = head + chunks + "\r\n";
+    CHECK_FALSE(list_error());
+}
+
 TEST_CASE_FIXTURE(broken_store_fixture,
                   "calls, second copy of a reply, is not the reply to the next call") {
     using ending = test_support::raw_answer::ending;
