--- a/test/gateway/broken_responses_test.cpp
+++ b/test/gateway/broken_responses_test.cpp
@@ -1,6 +1,7 @@
 #include "test/support/gateway_fixture.hpp"
 #include "test/support/raw_server.hpp"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
@@ -20,6 +21,9 @@
 constexpr std::size_t long_upload_bytes = 4'190'000;
 constexpr std::size_t max_body_bytes = 4UL * 1024 * 1024;
 
+/// Long enough for a long upload on a busy machine.
+constexpr std::chrono::milliseconds route_timeout = 5s;
+
 const std::string server_fields =
     "X-Cicadahatch-Attempt-Id: {id}\r\nX-Cicadahatch-Server-Signature: s\r\nConnection: close\r\n";
 const std::string ok_head = "HTTP/1.1 200 OK\r\n" + server_fields;
@@ -93,6 +97,9 @@
     broken_responses_fixture() {
         auto configuration = nlohmann::json::parse(test_support::sample_platform_configuration(2));
         configuration["limits"]["bodyBytes"] = max_body_bytes;
+        for (auto& route : configuration["routes"]) {
+            route["timeoutMs"] = route_timeout.count();
+        }
         stub.put("op/config", configuration.dump());
         replace("shop-1", "raw-shop", "shop", "", plain);
         REQUIRE(eventually([this] { return call("GET", "/plain/x").ends_with("whole"); }));
