--- a/review/standins-3/case_large_configuration.cpp
+++ b/review/standins-3/case_large_configuration.cpp
@@ -29,13 +29,7 @@
     return made.dump();
 }
 
-int play(record& log) {
-    deployment tested;
-    narrow_link link{tested.stub.store(), link_bytes_per_second};
-    tested.stub.put("op/config", configuration(1, false));
-    for (const char* id : {"shop-1", "shop-2"}) {
-        tested.stub.add_engine(id, "shop", "");
-    }
+void start_daemons(deployment& tested, const narrow_link& link) {
     json bounds = association_bounds();
     bounds["drain_ms"] = 3000;
     bounds["configuration_ms"] = configuration_bound.count();
@@ -49,10 +43,11 @@
         }
         tested.start(added);
     }
-    if (!tested.wait_until_ready()) {
-        return exit_not_run;
-    }
-    std::this_thread::sleep_for(3s);
+}
+
+/// Publishes the versions, while the store turns front-1 away if the case plays its disruption.
+/// \returns when the daemons are in touch and the last version is due
+steady::time_point change_configuration(deployment& tested, narrow_link& link, record& log) {
     const auto began = steady::now();
     if (has_trouble()) {
         link.turn_away(true);
@@ -71,8 +66,11 @@
     if (has_trouble()) {
         log.write("the store serves front-1 again");
     }
-    std::this_thread::sleep_until(
-        std::max(served_again + stable_bound, acknowledged + configuration_bound) + 200ms);
+    return std::max(served_again + stable_bound, acknowledged + configuration_bound) + 200ms;
+}
+
+/// \returns the number of requests for an added route that were refused
+int count_refusals(const deployment& tested, record& log) {
     int refused = 0;
     for (int number = 0; number < 60; ++number) {
         for (const auto& row : tested.members) {
@@ -86,6 +84,23 @@
         }
         std::this_thread::sleep_for(50ms);
     }
+    return refused;
+}
+
+int play(record& log) {
+    deployment tested;
+    narrow_link link{tested.stub.store(), link_bytes_per_second};
+    tested.stub.put("op/config", configuration(1, false));
+    for (const char* id : {"shop-1", "shop-2"}) {
+        tested.stub.add_engine(id, "shop", "");
+    }
+    start_daemons(tested, link);
+    if (!tested.wait_until_ready()) {
+        return exit_not_run;
+    }
+    std::this_thread::sleep_for(3s);
+    std::this_thread::sleep_until(change_configuration(tested, link, log));
+    const int refused = count_refusals(tested, log);
     log.write(std::to_string(refused) + " requests refused with 404 though the route is there");
     return refused > 0 ? exit_broken : exit_held;
 }
