--- a/review/standins-3/case_restore_leaving.cpp
+++ b/review/standins-3/case_restore_leaving.cpp
@@ -12,12 +12,13 @@
 constexpr milliseconds stable_bound = 3000ms;
 constexpr milliseconds report_interval = 1200ms;
 constexpr const char* leaving = "shop-2";
+constexpr std::size_t callers_per_daemon = 3;
 
 /// Callers that send requests one after the other until they are stopped.
 class load {
 public:
     load(deployment& tested, record& log) : tested_(tested), log_(log) {
-        for (std::size_t index = 0; index < tested.members.size(); ++index) {
+        for (std::size_t index = 0; index < callers_per_daemon * tested.members.size(); ++index) {
             callers_.emplace_back([this, index] { run(index); });
         }
     }
@@ -34,7 +35,7 @@
 
 private:
     void run(std::size_t index) {
-        const auto place = tested_.members[index]->callers();
+        const auto place = tested_.members[index % tested_.members.size()]->callers();
         for (int number = 0; !is_stopped_; ++number) {
             const std::string id = std::to_string(index) + "x" + std::to_string(number);
             const std::string method = number % 2 == 0 ? "POST" : "GET";
