Gateway: a daemon that shuts down goes on following the store

A configuration moves the plain routes to another service whose former servers drain.

Cause: start_shutdown() ended the follower of the store in order to withdraw the daemon's registration, and tick_registry() no longer served the subscriptions to relays. Routes, services, backend servers, keys and daemons stayed as they were at the SIGTERM for up to the shutdown bound, while requests were admitted, placed and sent on.

Ruled out: relays alone, as one of the two daemons has none.

Change: follower::leave() withdraws the registration for good and goes on following until the exit. What the shutdown has ended stays ended: - The registration is not written again after a lapse, an outage or a restore.

Weighed: rejecting everything new from some moment on. Callers whom the balancer still sends to stopping daemons would be turned away, and attempts of requests in progress would still go by the former state.

--- a/src/cells/home.cpp
+++ b/src/cells/home.cpp
@@ -150,6 +150,9 @@
 }
 
 void home::on(const daemon_id& from, const rpc::register_grants& registration) {
+    if (is_leaving_) {
+        return; // They are registered with the next home.
+    }
     scheduling::cell_state& cell = find_or_create(registration.cell);
     const time_point now = time_.now();
     std::set<request_id>& registered = registering_[from];
--- a/src/discovery/follower.cpp
+++ b/src/discovery/follower.cpp
@@ -216,9 +216,11 @@
 store_restore follower::record_restore(revision before) {
     const time_point now = time_.now();
     unconfirmed_until_ = now + options_.stabilization;
+    may_have_restored_key_ = true;
     const auto spread = static_cast<std::uint64_t>(restore_renewal_spread.count());
     const std::chrono::milliseconds delay{stable_hash(self_.id.str()) % spread};
     next_renewal_ = std::min(next_renewal_, now + delay);
+    next_withdrawal_ = now + delay;
     return {before, watch_.position(), now + options_.stabilization};
 }
 
@@ -275,12 +277,55 @@
     return true;
 }
 
+std::string follower::own_key() const {
+    return schema_.daemon_prefix + self_.id.str();
+}
+
 void follower::withdraw_presence() {
+    // If this fails, the key is removed when its lease expires.
+    static_cast<void>(remove_registration());
+}
+
+result<void> follower::maintain_absence() {
+    const time_point now = time_.now();
+    if (now < next_withdrawal_) {
+        return {};
+    }
+    next_withdrawal_ = now + options_.withdrawal_retry_interval;
+    return remove_registration();
+}
+
+result<void> follower::remove_registration() {
+    const bool is_due = !lease_.empty() || may_have_restored_key_;
     if (!lease_.empty()) {
-        // If this fails, the key is removed when its lease expires.
-        static_cast<void>(store_.revoke_lease(lease_));
+        if (auto revoked = store_.revoke_lease(lease_); !revoked) {
+            return revoked;
+        }
         lease_ = {};
+        is_registered_ = false;
+    }
+    if (may_have_restored_key_) {
+        if (auto erased = erase_restored_key(); !erased) {
+            return erased;
+        }
+        may_have_restored_key_ = false;
     }
+    if (is_due && on_withdrawal_) {
+        on_withdrawal_();
+    }
+    return {};
+}
+
+result<void> follower::erase_restored_key() {
+    const auto found = store_.get(own_key());
+    if (!found) {
+        return tl::unexpected(found.error());
+    }
+    if (!*found) {
+        return {};
+    }
+    const auto erased = store_.erase(own_key(), (*found)->modified);
+    return erased ? result<void>{} : tl::unexpected(erased.error());
 }
 
 result<void> follower::register_self() {
@@ -288,17 +333,20 @@
     if (!lease) {
         return tl::unexpected(lease.error());
     }
-    const std::string key = schema_.daemon_prefix + self_.id.str();
+    // Kept although the key is not written yet: a swap without a reply may still take effect.
+    lease_ = *lease;
+    const std::string key = own_key();
     const std::string value = to_value(self_);
-    auto outcome = store_.swap(key, {}, value, *lease);
+    auto outcome = store_.swap(key, {}, value, lease_);
     if (outcome && !outcome->is_swapped && outcome->current) {
         // The key of a previous process of this daemon still exists.
-        outcome = store_.swap(key, outcome->current->modified, value, *lease);
+        outcome = store_.swap(key, outcome->current->modified, value, lease_);
     }
     if (!outcome) {
         return tl::unexpected(outcome.error());
     }
-    lease_ = *lease;
+    is_registered_ = true;
+    may_have_restored_key_ = false;
     if (on_registration_) {
         on_registration_();
     }
@@ -306,12 +354,15 @@
 }
 
 result<void> follower::maintain_presence() {
+    if (is_leaving_) {
+        return maintain_absence();
+    }
     const time_point now = time_.now();
     if (now < next_renewal_) {
         return {};
     }
     next_renewal_ = now + options_.presence_renewal_interval;
-    if (lease_.empty()) {
+    if (!is_registered_) {
         return register_self();
     }
     const auto renewed = store_.keep_alive(lease_);
@@ -319,7 +370,7 @@
         return {};
     }
     if (renewed.error() == store::errc::lease_expired) {
-        lease_ = {};
+        is_registered_ = false;
         return register_self();
     }
     return tl::unexpected(renewed.error());
--- a/src/discovery/follower.hpp
+++ b/src/discovery/follower.hpp
@@ -86,6 +86,8 @@
     std::chrono::milliseconds stabilization{3000};
     std::chrono::seconds presence_ttl{15}; ///< lease of this daemon's own key
     std::chrono::seconds presence_renewal_interval{5};
+    /// Pause after a failed withdrawal. A call that gets no reply holds up the next poll.
+    std::chrono::milliseconds withdrawal_retry_interval{2000};
 };
 
 /// \brief Watches configuration and backend servers in the store, and registers this daemon there.
@@ -126,6 +128,9 @@
     /// \brief Sets the handler of each registration of this daemon, renewals of its lease excluded.
     void on_registration(registration_handler handler) { on_registration_ = std::move(handler); }
 
+    /// \brief Sets the handler of each withdrawal of this daemon's registration.
+    void on_withdrawal(registration_handler handler) { on_withdrawal_ = std::move(handler); }
+
     /// \brief Polls until stop() is called.
     void run(const update_handler& on_update, const status_handler& on_status);
 
@@ -133,7 +138,8 @@
     /// \returns the changes, or the error of the store
     [[nodiscard]] result<registry_update> poll();
 
-    /// \brief Registers this daemon, or renews its lease when that is due.
+    /// \brief Registers this daemon, or renews its lease when that is due. After leave() it removes
+    /// the registration, and does so again if the store comes back with it.
     /// \returns the error of a call that was due
     [[nodiscard]] result<void> maintain_presence();
 
@@ -144,7 +150,10 @@
     /// first. Thread-safe.
     [[nodiscard]] time_point last_read() const { return last_read_at_; }
 
-    /// \brief Makes run() return after the call in progress.
+    /// \brief Withdraws the registration for good; run() goes on following the store. Thread-safe.
+    void leave() { is_leaving_ = true; }
+
+    /// \brief Makes run() return after the call in progress. Thread-safe.
     void stop() { is_stopping_ = true; }
 
 private:
@@ -163,7 +172,11 @@
     void record_failure(time_point called_at, const std::error_code& error);
     [[nodiscard]] bool may_have_missed_outage() const;
     [[nodiscard]] time_point outage_grace_end() const;
+    [[nodiscard]] std::string own_key() const;
     [[nodiscard]] result<void> register_self();
+    [[nodiscard]] result<void> maintain_absence();
+    [[nodiscard]] result<void> remove_registration();
+    [[nodiscard]] result<void> erase_restored_key();
     /// \returns whether the list of daemons has changed
     [[nodiscard]] bool update_daemon(const store::entry& entry, bool is_erased);
 
@@ -178,14 +191,21 @@
     confirmation_handler on_confirmation_;
     generation_handler on_generation_;
     registration_handler on_registration_;
+    registration_handler on_withdrawal_;
     const clock* lease_time_ = nullptr; ///< null: the age of the configuration is not measured
     std::map<std::string, registered_daemon> daemons_; ///< by key
     bool is_unreachable_ = false;
     time_point failed_call_at_; ///< start of the last call of the store that failed
     std::atomic<time_point> last_read_at_{time_point{}};
     time_point unconfirmed_until_; ///< the configuration may lack versions that a restore has lost
-    store::lease_id lease_;
+    store::lease_id lease_; ///< of the registration, also while it is not known to be written
+    bool is_registered_ = false;
+    /// The store has come back from a copy that may hold this daemon's key, under a lease that
+    /// can't be revoked any more.
+    bool may_have_restored_key_ = false;
     time_point next_renewal_;
+    time_point next_withdrawal_;
+    std::atomic<bool> is_leaving_{false};
     std::atomic<bool> is_stopping_{false};
 };
 
--- a/src/gateway/internal/gateway_daemon_impl.cpp
+++ b/src/gateway/internal/gateway_daemon_impl.cpp
@@ -231,6 +231,9 @@
     follower_->on_registration([this] {
         asio::post(loop_, [this] { log_.write(weight::notable, "daemon.registered", {}); });
     });
+    follower_->on_withdrawal([this] {
+        asio::post(loop_, [this] { log_.write(weight::notable, "daemon.withdrawn", {}); });
+    });
     follower_->on_delta([this](discovery::store_delta delta) {
         asio::post(loop_, [this, delta = std::move(delta)] { publisher_.publish(delta); });
     });
@@ -388,6 +391,7 @@
         return;
     }
     was_ready_ = is_ready();
+    has_been_ready_ = has_been_ready_ || was_ready_;
     log_.write(weight::notable, "daemon.readiness",
                {{"ready", was_ready_},
                 {"version", state_.table ? state_.table->version() : 0},
@@ -439,7 +443,8 @@
     state_.is_stopping = true;
     stopping_since_ = time_.now();
     state_.shutdown = forwarding::plan_shutdown(stopping_since_, configured_.bounds.shutdown);
-    follower_->stop();
+    // Callers are served until the exit, so routes and backend servers must stay up to date.
+    follower_->leave();
     publisher_.close();
     home_server_.leave();
     placements_.start_shutdown();
@@ -452,7 +457,10 @@
     state_.backends.expire(now, changes);
     handle_backend_changes(changes);
     state_.connections.close_expired(now);
-    forwarding::tick_daemon_count(state_);
+    if (!state_.is_stopping) {
+        // A daemon that stops takes no larger share: the others take over what it leaves.
+        forwarding::tick_daemon_count(state_);
+    }
     home_server_.tick();
     homes_.tick();
     placements_.tick();
@@ -480,7 +488,7 @@
 }
 
 void gateway_daemon::impl::tick_registry() {
-    if (configured_.registry.empty() || state_.is_stopping) {
+    if (configured_.registry.empty()) {
         return;
     }
     publisher_.tick();
@@ -662,7 +670,7 @@
     using change_kind = discovery::directory_change::change_kind;
     const bool is_new = change.kind == change_kind::added || change.kind == change_kind::restarted;
     const discovery::backend* known = state_.backends.find(change.backend);
-    if (!state_.options.paces_servers || !is_new || !was_ready_ || known == nullptr) {
+    if (!state_.options.paces_servers || !is_new || !has_been_ready_ || known == nullptr) {
         return;
     }
     auto& load = balancing::load_of(state_.loads, known->id, known->started);
--- a/src/gateway/internal/gateway_daemon_impl.hpp
+++ b/src/gateway/internal/gateway_daemon_impl.hpp
@@ -102,7 +102,8 @@
     time_point stopping_since_;
     std::uint64_t key_seed_ = 0; ///< secret of the index of keys
     bool was_outdated_ = false;  ///< the configuration, as last logged
-    bool was_ready_ = false;
+    bool was_ready_ = false;     ///< as last logged
+    bool has_been_ready_ = false;
     bool is_graceful_ = true; ///< every request ended before the shutdown timeout
     std::unique_ptr<store::key_value_store> store_;
     std::unique_ptr<store::guarded_store> guarded_store_;
--- a/test/cells/home_test.cpp
+++ b/test/cells/home_test.cpp
@@ -218,6 +218,15 @@
     }
 }
 
+TEST_CASE_FIXTURE(home_fixture, "leave, grants registered later, take up no cell again") {
+    cell_home.leave();
+    rpc::register_grants registration;
+    registration.cell = cell;
+    cell_home.handle(second_daemon, registration);
+    cell_home.refresh_topology();
+    CHECK(cell_home.cells().empty());
+}
+
 TEST_CASE_FIXTURE(home_fixture,
                   "release, engine had no room, accepts grants again within a second") {
     REQUIRE(is_granted(first_daemon, "r1"));
--- a/test/discovery/follower_test.cpp
+++ b/test/discovery/follower_test.cpp
@@ -54,6 +54,7 @@
     }
     void erase(const std::string& key) { REQUIRE(test_support::erase(store, key)); }
     registry_update poll() { return follower.poll().value(); }
+    [[nodiscard]] bool is_registered() { return store.get("d/d1").value().has_value(); }
     /// The store becomes unreachable; the last call fails at the end.
     void lose_store(duration outage) {
         store.set_fault(store_fault::unavailable);
@@ -383,3 +384,92 @@
     REQUIRE(other.poll());
     CHECK(generations == std::vector{store::generation{}, store::generation{1}});
 }
+
+TEST_CASE_FIXTURE(follower_fixture,
+                  "leave, registered daemon, removes its key and goes on polling") {
+    int withdrawals = 0;
+    follower.on_withdrawal([&withdrawals] { ++withdrawals; });
+    REQUIRE(follower.maintain_presence());
+    static_cast<void>(poll());
+    follower.leave();
+    REQUIRE(follower.maintain_presence());
+    CHECK_FALSE(is_registered());
+    put("config", "4");
+    CHECK(poll().configuration->version == 4);
+    REQUIRE(follower.maintain_presence());
+    CHECK(withdrawals == 1);
+}
+
+TEST_CASE_FIXTURE(follower_fixture, "leave, daemon that is not registered yet, is not registered") {
+    follower.leave();
+    time.advance(options.presence_renewal_interval);
+    REQUIRE(follower.maintain_presence());
+    CHECK_FALSE(is_registered());
+    CHECK(store.writes() == 0);
+}
+
+TEST_CASE_FIXTURE(follower_fixture, "leave, lease expired before, does not register again") {
+    REQUIRE(follower.maintain_presence());
+    time.advance(options.presence_ttl * 2);
+    follower.leave();
+    REQUIRE(follower.maintain_presence());
+    time.advance(options.presence_renewal_interval);
+    REQUIRE(follower.maintain_presence());
+    CHECK_FALSE(is_registered());
+}
+
+TEST_CASE_FIXTURE(follower_fixture,
+                  "leave, store unreachable, removes the key once the store is back") {
+    REQUIRE(follower.maintain_presence());
+    store.set_fault(store_fault::unavailable);
+    follower.leave();
+    CHECK_FALSE(follower.maintain_presence());
+    store.set_fault(store_fault::none);
+    CHECK(is_registered());
+    time.advance(options.withdrawal_retry_interval);
+    REQUIRE(follower.maintain_presence());
+    CHECK_FALSE(is_registered());
+}
+
+TEST_CASE_FIXTURE(follower_fixture,
+                  "leave, reply to the registration was lost, removes the key all the same") {
+    store.set_faults(
+        [](std::uint64_t call) { return call == 2 ? store_fault::lose_reply : store_fault::none; });
+    CHECK_FALSE(follower.maintain_presence());
+    CHECK(is_registered());
+    follower.leave();
+    REQUIRE(follower.maintain_presence());
+    CHECK_FALSE(is_registered());
+}
+
+// Guards against a daemon that others contact again since the copy still shows its key.
+TEST_CASE_FIXTURE(restore_fixture,
+                  "leave, store restored from a copy with the registration, removes it again") {
+    REQUIRE(follower.maintain_presence());
+    copied = store.copy();
+    static_cast<void>(poll());
+    follower.leave();
+    REQUIRE(follower.maintain_presence());
+    CHECK_FALSE(is_registered());
+    store.restore(copied);
+    CHECK(is_registered());
+    static_cast<void>(poll());
+    time.advance(1s);
+    REQUIRE(follower.maintain_presence());
+    CHECK_FALSE(is_registered());
+}
+
+TEST_CASE_FIXTURE(
+    restore_fixture,
+    "leave, store restored while the daemon was registered, removes the restored key") {
+    REQUIRE(follower.maintain_presence());
+    copied = store.copy();
+    static_cast<void>(poll());
+    store.restore(copied);
+    CHECK(is_registered());
+    static_cast<void>(poll());
+    follower.leave();
+    time.advance(1s);
+    REQUIRE(follower.maintain_presence());
+    CHECK_FALSE(is_registered());
+}
--- a/test/platform/kv_store_test.cpp
+++ b/test/platform/kv_store_test.cpp
@@ -129,6 +129,17 @@
     CHECK(store.list("a/")->entries.empty());
 }
 
+TEST_CASE_FIXTURE(kv_store_fixture, "revoke_lease, store busy at first, can be tried again") {
+    const auto lease = store.grant_lease(15s);
+    REQUIRE(lease);
+    REQUIRE(store.swap("a/1", {}, "x", *lease)->is_swapped);
+    stub.set_store_mode(store_mode::busy);
+    CHECK(error_of(store.revoke_lease(*lease)) == errc::unavailable);
+    stub.set_store_mode(store_mode::normal);
+    REQUIRE(store.revoke_lease(*lease));
+    CHECK(store.list("a/")->entries.empty());
+}
+
 TEST_CASE_FIXTURE(kv_store_fixture, "calls, endless reply, fail before the reply exhausts memory") {
     constexpr auto timeout = 30s;
     platform::kv_store patient{stub.store(), timeout};
--- a/test/support/platform_stub.cpp
+++ b/test/support/platform_stub.cpp
@@ -5,6 +5,7 @@
 #include "test/support/require.hpp"
 #include "test/support/reserved_port.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
 #include <deque>
@@ -219,6 +220,12 @@
         if (target.starts_with("/cicadahatch/kv-range")) {
             return {200U, range(query_value(target, "prefix"))};
         }
+        if (target.starts_with("/cicadahatch/kv-key")) {
+            const auto found = data.items.find(query_value(target, "key"));
+            return found == data.items.end()
+                       ? std::pair{404U, json::object()}
+                       : std::pair{200U, to_json(found->first, found->second)};
+        }
         if (target.starts_with("/cicadahatch/kv-txn")) {
             return transact(json::parse(asked.body()));
         }
@@ -798,6 +805,14 @@
     parts_->erase("servers/" + id);
 }
 
+std::size_t platform_stub::count_keys(const std::string& prefix) const {
+    const std::lock_guard lock{parts_->mutex};
+    const auto& items = parts_->data.items;
+    return static_cast<std::size_t>(
+        std::count_if(items.begin(), items.end(),
+                      [&prefix](const auto& row) { return row.first.starts_with(prefix); }));
+}
+
 void platform_stub::expire_leases() {
     const std::lock_guard lock{parts_->mutex};
     std::vector<std::string> expired;
--- a/test/support/platform_stub.hpp
+++ b/test/support/platform_stub.hpp
@@ -124,6 +124,8 @@
     void crash(const std::string& id);
     /// \returns the times at which engines crashed
     [[nodiscard]] std::vector<std::chrono::steady_clock::time_point> crashes() const;
+    /// \returns the number of keys in the store with a prefix
+    [[nodiscard]] std::size_t count_keys(const std::string& prefix) const;
     /// \brief Erases all keys with a lease, as if the leases had expired.
     void expire_leases();
     /// \brief Writes any value, as another writer would.
