Gateway: requests do not wait for a home that is not registered any more

Seen by callers: a stream whose request is on its way to a home, as that home's registration goes, waits until its deadline and gets 503, 5 s in the test.

Cause: a new list of daemons replaces the homes and closes the connections to those that are not on it. home_connections::on_close() looked the home up in the new list, did not find it, and returned before it told the placement and usage clients, which went on waiting for its answer. The heartbeat timeout is checked for listed homes only.

Change: the clients are told of each closed connection, listed or not, and send their requests to the next home.

Test: gateway.home_withdrawn failed before (503 after 5.0 s) and passes.

--- a/src/gateway/home_connections.cpp
+++ b/src/gateway/home_connections.cpp
@@ -99,18 +99,18 @@
 }
 
 void home_connections::on_close(const daemon_id& home) {
+    state_.log.write(weight::notable, "home.lost", {{"home", home.str()}});
+    // A home that is not registered any more has no row, but requests may wait for its answer.
     const auto found = candidates_.find(home);
-    if (found == candidates_.end()) {
-        return;
+    if (found != candidates_.end()) {
+        candidate& row = found->second;
+        const time_point now = state_.time.now();
+        // A connection that was stable is reopened at once: it may have been reset.
+        const bool was_stable = row.is_established && now - row.opened_at > unreachable_backoff;
+        row.channel.reset();
+        row.is_established = false;
+        row.avoid_until = was_stable ? now : now + unreachable_backoff;
     }
-    state_.log.write(weight::notable, "home.lost", {{"home", home.str()}});
-    candidate& row = found->second;
-    const time_point now = state_.time.now();
-    // A connection that was stable is reopened at once: it may have been reset.
-    const bool was_stable = row.is_established && now - row.opened_at > unreachable_backoff;
-    row.channel.reset();
-    row.is_established = false;
-    row.avoid_until = was_stable ? now : now + unreachable_backoff;
     connect_to_homes();
     for (home_user* user : users_) {
         user->on_home_close(home);
