Tests: a gateway that read the store for others hears another as it shuts down

Fails if the subscriptions to relays are not served after the SIGTERM, which no other test showed: the follower then reads the store itself.

--- a/test/gateway/shutdown_following_test.cpp
+++ b/test/gateway/shutdown_following_test.cpp
@@ -286,6 +286,15 @@
     CHECK(stub.count("shop2-1", "/plain/late") == 3);
 }
 
+// Guards against a store that is read by every daemon that shuts down.
+TEST_CASE_FIXTURE(shutdown_relays_fixture,
+                  "shutdown, of the gateway that reads the store for the others, hears another") {
+    constexpr const char* heard = "registry.source.heard";
+    REQUIRE(eventually([&] { return count_with(heard) == 2; }));
+    shut_down_with_stream(find_without(heard));
+    CHECK(eventually([&] { return all_have_logged(heard); }));
+}
+
 TEST_CASE_FIXTURE(shutdown_relays_fixture,
                   "shutdown, store restored from a copy with the registration, it is removed "
                   "again") {
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -89,8 +89,13 @@
     void send_to_newest(const std::string& request) { send(*members_.back(), request); }
 
     [[nodiscard]] bool all_have_logged(const std::string& text) {
-        return std::all_of(members_.begin(), members_.end(),
-                           [&](const auto& row) { return row->has_logged(text); });
+        return count_with(text) == members_.size();
+    }
+    /// \returns the number of gateways that have logged the text
+    [[nodiscard]] std::size_t count_with(const std::string& text) const {
+        return static_cast<std::size_t>(
+            std::count_if(members_.begin(), members_.end(),
+                          [&](const auto& row) { return row->has_logged(text); }));
     }
 
     /// Starts callers that send requests at a steady rate until stop_load().
