--- a/test/gateway/home_withdrawn_test.cpp
+++ b/test/gateway/home_withdrawn_test.cpp
@@ -21,7 +21,7 @@
 
     [[nodiscard]] daemon_id find_first_home() const {
         for (int number = 0;; ++number) {
-            const daemon_id name{"h" + std::to_string(number)};
+            daemon_id name{"h" + std::to_string(number)};
             const auto order = scheduling::spread_homes(
                 cell_id{"model"}, {{configured.name, configured.domain}, {name, configured.domain}},
                 2);
