Tests: find the gateway that reads the store by the order of its domain

Which gateways have heard a relay by the end of the start depends on when each was listed. Fails as before if the subscriptions are not served after the SIGTERM.

--- a/test/gateway/shutdown_following_test.cpp
+++ b/test/gateway/shutdown_following_test.cpp
@@ -1,6 +1,8 @@
+#include "src/scheduling/cell_home.hpp"
 #include "src/scheduling/daemon_count.hpp"
 #include "test/support/gateway_fleet.hpp"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
@@ -21,7 +23,7 @@
 constexpr auto configuration_bound = 2000ms;
 constexpr auto revocation_bound = 2500ms;
 
-/// Version 1 with a second plain service, to which plain routes may be moved.
+/// The sample configuration with a second plain service, to which plain routes may be moved.
 json two_shops(std::uint64_t version) {
     auto made = json::parse(sample_platform_configuration(version));
     json second = made["services"][0];
@@ -73,6 +75,7 @@
         stub.add_engine("shop2-1", "shop2", "");
         REQUIRE(eventually([this] { return has_logged("\"shop2-1\""); }));
     }
+    /// Opens a stream, which keeps the gateway running, and starts the shutdown.
     void shut_down() {
         stub.set_script("x-1", lasting_stream());
         lasting = std::make_unique<raw_caller>(callers());
@@ -83,7 +86,7 @@
         REQUIRE(eventually([this] { return has_logged("daemon.withdrawn"); }));
     }
     void publish(const json& configuration) { stub.put("op/config", configuration.dump()); }
-    /// Sends plain requests that may be repeated and such that may not.
+    /// Sends idempotent and non-idempotent plain requests.
     void call_plain_routes() {
         for (int number = 0; number < 10; ++number) {
             CHECK(status_of(call("GET", "/plain/late")) == 200);
@@ -127,7 +130,14 @@
         REQUIRE(eventually([this] { return all_have_logged(R"("daemons":3)"); }));
         stub.set_script("x-1", lasting_stream());
     }
-    /// Starts a stream that keeps the gateway's process alive, and its shutdown.
+    /// \returns the number of the gateway that reads the store itself and relays it to the others
+    [[nodiscard]] static std::size_t first_of_domain() {
+        const std::vector<daemon_id> names{daemon_id{"d1"}, daemon_id{"d2"}, daemon_id{"d3"}};
+        const auto first = scheduling::cell_homes(cell_id{"a"}, names, 1).front();
+        return static_cast<std::size_t>(std::find(names.begin(), names.end(), first) -
+                                        names.begin());
+    }
+    /// Opens a stream, which keeps the gateway running, and starts its shutdown.
     void shut_down_with_stream(std::size_t number) {
         lasting_.push_back(std::make_unique<raw_caller>(callers(number)));
         lasting_.back()->send(stream_request("/stream/lasting"));
@@ -289,10 +299,10 @@
 // Guards against a store that is read by every daemon that shuts down.
 TEST_CASE_FIXTURE(shutdown_relays_fixture,
                   "shutdown, of the gateway that reads the store for the others, hears another") {
-    constexpr const char* heard = "registry.source.heard";
-    REQUIRE(eventually([&] { return count_with(heard) == 2; }));
-    shut_down_with_stream(find_without(heard));
-    CHECK(eventually([&] { return all_have_logged(heard); }));
+    const std::size_t reader = first_of_domain();
+    shut_down_with_stream(reader);
+    CHECK(eventually(
+        [&] { return has_logged_after(reader, R"("stopping":true)", "registry.source.heard"); }));
 }
 
 TEST_CASE_FIXTURE(shutdown_relays_fixture,
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -88,14 +88,17 @@
     /// Sends one request to the gateway that was started last.
     void send_to_newest(const std::string& request) { send(*members_.back(), request); }
 
-    [[nodiscard]] bool all_have_logged(const std::string& text) {
-        return count_with(text) == members_.size();
+    /// \returns whether a gateway has logged a text after the last line with another one
+    [[nodiscard]] bool has_logged_after(std::size_t number, const std::string& first,
+                                        const std::string& text) const {
+        const member& row = *members_.at(number);
+        const std::lock_guard lock{row.mutex};
+        const std::size_t at = row.log.rfind(first);
+        return at != std::string::npos && row.log.find(text, at) != std::string::npos;
     }
-    /// \returns the number of gateways that have logged the text
-    [[nodiscard]] std::size_t count_with(const std::string& text) const {
-        return static_cast<std::size_t>(
-            std::count_if(members_.begin(), members_.end(),
-                          [&](const auto& row) { return row->has_logged(text); }));
+    [[nodiscard]] bool all_have_logged(const std::string& text) {
+        return std::all_of(members_.begin(), members_.end(),
+                           [&](const auto& row) { return row->has_logged(text); });
     }
 
     /// Starts callers that send requests at a steady rate until stop_load().
