Store: a reply that is too long is told from a store that is away

A daemon that does not get the answer to its poll within the call's time logged "store not reached", whatever the reason, and only the first of several reasons.

Reads whose reply is still arriving at the end of the call's time now fail with errc::reply_too_large.

--- a/src/discovery/follower.cpp
+++ b/src/discovery/follower.cpp
@@ -51,6 +51,11 @@
            !update.present.empty() || !update.absent.empty() || !update.unreadable.empty();
 }
 
+/// Whether this daemon has held the call back, which tells nothing new about the store.
+bool is_unsent(const std::error_code& error) {
+    return error == store::errc::circuit_open || error == store::errc::rate_limited;
+}
+
 bool is_restored(revision before, revision after) {
     return !before.empty() && store::generation_of(after) > store::generation_of(before);
 }
@@ -122,10 +127,17 @@
     return update;
 }
 
+void follower::report_status(const std::error_code& error, const status_handler& on_status) {
+    const bool is_known = reported_status_ && (reported_status_->error == error ||
+                                               (reported_status_->error && is_unsent(error)));
+    if (!is_known) {
+        reported_status_ = store_status{!error, error};
+        on_status(*reported_status_);
+    }
+}
+
 void follower::record_failure(time_point called_at, const std::error_code& error) {
-    const bool has_called =
-        error != store::errc::circuit_open && error != store::errc::rate_limited;
-    if (has_called || !is_unreachable_) {
+    if (!is_unsent(error) || !is_unreachable_) {
         failed_call_at_ = called_at;
     }
     is_unreachable_ = true;
@@ -377,15 +389,9 @@
 }
 
 void follower::run(const update_handler& on_update, const status_handler& on_status) {
-    bool was_reachable = false;
-    bool is_first = true;
     while (!is_stopping_) {
         auto update = poll();
-        if (update.has_value() != was_reachable || is_first) {
-            on_status({update.has_value(), update ? std::error_code{} : update.error()});
-            was_reachable = update.has_value();
-            is_first = false;
-        }
+        report_status(update ? std::error_code{} : update.error(), on_status);
         if (!update) {
             std::this_thread::sleep_for(options_.retry_delay);
             continue;
--- a/src/discovery/follower.hpp
+++ b/src/discovery/follower.hpp
@@ -168,6 +168,8 @@
     [[nodiscard]] registry_update decode_snapshot(const std::vector<store::entry>& entries);
     [[nodiscard]] registry_update decode_changes(const std::vector<store::change>& changes);
     void decode_entry(const store::entry& entry, registry_update& update) const;
+    /// Reports a poll that differs from the last one reported.
+    void report_status(const std::error_code& error, const status_handler& on_status);
     void record_success();
     void record_failure(time_point called_at, const std::error_code& error);
     [[nodiscard]] bool may_have_missed_outage() const;
@@ -194,6 +196,7 @@
     registration_handler on_withdrawal_;
     const clock* lease_time_ = nullptr; ///< null: the age of the configuration is not measured
     std::map<std::string, registered_daemon> daemons_; ///< by key
+    std::optional<store_status> reported_status_;
     bool is_unreachable_ = false;
     time_point failed_call_at_; ///< start of the last call of the store that failed
     std::atomic<time_point> last_read_at_{time_point{}};
--- a/src/gateway/internal/gateway_daemon_impl.cpp
+++ b/src/gateway/internal/gateway_daemon_impl.cpp
@@ -680,7 +680,9 @@
 
 void gateway_daemon::impl::on_store_state(const discovery::store_status& state) {
     log_.write(weight::notable, state.is_reachable ? "store.reached" : "store.lost",
-               {{"error", state.error ? state.error.message() : std::string{}}});
+               {{"error", state.error ? state.error.message() : std::string{}},
+                {"version", state_.table ? state_.table->version() : 0},
+                {"registry_age_ms", registry_age()}});
 }
 
 } // namespace cicadahatch::gateway
--- a/src/http/timed_client.cpp
+++ b/src/http/timed_client.cpp
@@ -5,12 +5,14 @@
 #include "src/http/idle_connection.hpp"
 #include "src/http/response_head.hpp"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <chrono>
 #include <optional>
 
 namespace cicadahatch::http {
@@ -20,6 +22,8 @@
 
 namespace {
 
+using std::chrono::steady_clock;
+
 /// Bytes of a response read at once.
 constexpr std::size_t read_bytes = 8192;
 
@@ -41,6 +45,38 @@
     return made;
 }
 
+/// \brief When a call is given up if no further byte arrives.
+class call_deadline {
+public:
+    explicit call_deadline(const call_limits& limits)
+        : silence_(limits.silence), first_byte_by_(steady_clock::now() + limits.first_byte),
+          ends_(steady_clock::now() + limits.total) {}
+
+    void record_progress() { received_at_ = steady_clock::now(); }
+    [[nodiscard]] steady_clock::time_point next() const {
+        return std::min(ends_, std::max(first_byte_by_, received_at_ + silence_));
+    }
+    [[nodiscard]] bool is_over() const { return steady_clock::now() >= ends_; }
+
+private:
+    std::chrono::milliseconds silence_;
+    steady_clock::time_point first_byte_by_;
+    steady_clock::time_point ends_;
+    steady_clock::time_point received_at_;
+};
+
+/// \param is_in_body the head of a final response has arrived
+errc to_errc(const boost::system::error_code& error, const call_deadline& deadline,
+             bool is_in_body) {
+    if (error == beast::http::error::body_limit) {
+        return errc::body_too_large;
+    }
+    if (error != beast::error::timeout) {
+        return errc::response_broken;
+    }
+    return is_in_body && deadline.is_over() ? errc::body_late : errc::response_timeout;
+}
+
 header_list copy_fields(const beast::http::fields& head) {
     header_list copied;
     for (const auto& entry : head) {
@@ -64,10 +100,11 @@
         return outcome;
     }
 
-    boost::system::error_code read_head(beast_parser& parser) {
+    boost::system::error_code read_head(beast_parser& parser, call_deadline& deadline) {
         boost::system::error_code error = parse_response_head(parser, buffer);
         while (error == beast::http::error::need_more) {
             std::size_t received = 0;
+            stream->expires_at(deadline.next());
             error = run([&](auto done) {
                 const auto space = buffer.prepare(beast::read_size(buffer, read_bytes));
                 stream->async_read_some(space, [&received, done](auto failed, std::size_t bytes) {
@@ -76,6 +113,7 @@
                 });
             });
             if (!error) {
+                deadline.record_progress();
                 buffer.commit(received);
                 error = parse_response_head(parser, buffer);
             }
@@ -83,19 +121,29 @@
         return error;
     }
 
+    boost::system::error_code read_body(beast_parser& parser, call_deadline& deadline) {
+        boost::system::error_code error;
+        while (!error && !parser.is_done()) {
+            stream->expires_at(deadline.next());
+            error = run(
+                [&](auto done) { beast::http::async_read_some(*stream, buffer, parser, done); });
+            deadline.record_progress();
+        }
+        return error;
+    }
+
     /// Reads the response that follows any interim ones, and counts these.
     boost::system::error_code read(std::optional<beast_parser>& parser, header_list& fields,
-                                   int& interim) {
+                                   int& interim, call_deadline& deadline, std::size_t body_limit) {
         boost::system::error_code error;
         do {
             parser.emplace();
-            parser->body_limit(max_response_bytes);
-            error = read_head(*parser);
+            parser->body_limit(body_limit);
+            error = read_head(*parser, deadline);
             if (!error) {
                 // Taken before the body is read: the parser adds trailer fields to the head.
                 fields = copy_fields(parser->get());
-                error = run(
-                    [&](auto done) { beast::http::async_read(*stream, buffer, *parser, done); });
+                error = read_body(*parser, deadline);
             }
         } while (!error && is_interim(parser->get().result_int()) &&
                  ++interim <= max_interim_responses);
@@ -123,14 +171,14 @@
 
 timed_client::~timed_client() = default;
 
-result<response> timed_client::call(const request& sent, std::chrono::milliseconds timeout,
+result<response> timed_client::call(const request& sent, const call_limits& limits,
                                     bool is_repeatable) {
     connection& used = *connection_;
     if (used.stream != nullptr && !used.is_idle_alive()) {
         used.close();
     }
     const bool was_kept = used.stream != nullptr;
-    const auto ends = std::chrono::steady_clock::now() + timeout;
+    call_deadline deadline{limits};
     if (!was_kept) {
         boost::system::error_code bad_address;
         const auto address = asio::ip::make_address(used.place.host, bad_address);
@@ -138,7 +186,7 @@
             return failure(errc::bad_endpoint);
         }
         used.stream = std::make_unique<beast::tcp_stream>(used.loop);
-        used.stream->expires_at(ends);
+        used.stream->expires_at(deadline.next());
         const asio::ip::tcp::endpoint to{address, used.place.port};
         if (used.run([&](auto done) { used.stream->async_connect(to, done); })) {
             used.close();
@@ -147,7 +195,7 @@
         boost::system::error_code ignored; // Only a delay: the connection works without the option.
         used.stream->socket().set_option(asio::ip::tcp::no_delay(true), ignored);
     }
-    used.stream->expires_at(ends);
+    used.stream->expires_at(deadline.next());
     const beast_request message = to_beast(sent, to_string(used.place));
     boost::system::error_code error =
         used.run([&](auto done) { beast::http::async_write(*used.stream, message, done); });
@@ -155,7 +203,7 @@
     header_list fields;
     int interim = 0;
     if (!error) {
-        error = used.read(parser, fields, interim);
+        error = used.read(parser, fields, interim, deadline, limits.body_bytes);
     }
     if (!error && parser->get().result_int() >= status_ok) {
         if (!parser->keep_alive()) {
@@ -168,12 +216,9 @@
     const bool has_received = interim > 0 || (parser && parser->got_some());
     const bool is_stale = was_kept && error != beast::error::timeout && !has_received;
     if (is_stale && is_repeatable) {
-        return call(sent, timeout, false);
-    }
-    if (error == beast::error::timeout) {
-        return failure(errc::response_timeout);
+        return call(sent, limits, false);
     }
-    return failure(errc::response_broken);
+    return failure(to_errc(error, deadline, parser && parser->is_header_done()));
 }
 
 } // namespace cicadahatch::http
--- a/src/store/error.cpp
+++ b/src/store/error.cpp
@@ -25,6 +25,8 @@
             return "lease expired";
         case errc::compacted:
             return "revision compacted";
+        case errc::reply_too_large:
+            return "reply too large for its bounds";
         case errc::restored:
             return "store restored from an older copy";
         case errc::protocol:
--- a/src/store/error.hpp
+++ b/src/store/error.hpp
@@ -13,6 +13,7 @@
     value_too_large, ///< over the service's bound
     lease_expired,   ///< the lease no longer exists
     compacted,       ///< the revision to watch from is no longer kept; list again
+    reply_too_large, ///< of a read: the store answered, but the reply exceeds its size or time
     restored,        ///< the expected revision is of an earlier generation; nothing was sent
     protocol         ///< the reply could not be understood
 };
--- a/test/discovery/follower_test.cpp
+++ b/test/discovery/follower_test.cpp
@@ -473,3 +473,24 @@
     REQUIRE(follower.maintain_presence());
     CHECK_FALSE(is_registered());
 }
+
+TEST_CASE_FIXTURE(follower_fixture, "run, failures for other reasons, reports each reason once") {
+    constexpr std::size_t calls_per_fault = 4;
+    const std::vector<store_fault> faults{store_fault::none, store_fault::unavailable,
+                                          store_fault::large_reply, store_fault::none};
+    std::vector<std::error_code> reported;
+    REQUIRE(follower.maintain_presence());
+    std::size_t calls = 0;
+    store.set_faults([&](std::uint64_t) {
+        const std::size_t number = calls++ / calls_per_fault;
+        if (number + 1 >= faults.size()) {
+            follower.stop();
+        }
+        return faults.at(std::min(number, faults.size() - 1));
+    });
+    follower.run([](const registry_update&) {},
+                 [&](const store_status& status) { reported.push_back(status.error); });
+    const std::vector<std::error_code> expected{
+        {}, store::errc::unavailable, store::errc::reply_too_large, {}};
+    CHECK(reported == expected);
+}
--- a/test/platform/kv_store_test.cpp
+++ b/test/platform/kv_store_test.cpp
@@ -37,6 +37,24 @@
     }
 };
 
+/// A store whose replies arrive at a steady rate.
+struct slow_reply_fixture {
+    static constexpr auto timeout = 200ms;
+    static constexpr std::size_t body_bytes = 400'000;
+
+    test_support::platform_stub stub;
+    platform::kv_store store{stub.severable_store(), timeout};
+
+    slow_reply_fixture() { stub.put("a/1", std::string(body_bytes * 3 / 4, 'v')); }
+    /// Sets the time that a reply with the value takes.
+    void arrive_within(std::chrono::milliseconds time) {
+        stub.set_severable_rate(body_bytes * 1000 / static_cast<std::size_t>(time.count()));
+    }
+    /// Sets a rate at which the pauses within a reply are longer than the timeout.
+    void pause_within_body() { stub.set_severable_rate(8192); }
+    [[nodiscard]] std::error_code list_error() { return error_of(store.list("")); }
+};
+
 /// A store that keeps a copy of its data after the first write.
 struct restored_store_fixture : kv_store_fixture {
     restored_store_fixture() {
@@ -195,6 +213,15 @@
     CHECK_FALSE(swap_error(1'000'000));
 }
 
+// Guards against a log that does not tell a store that is away from a reply that is too long.
+TEST_CASE_FIXTURE(slow_reply_fixture,
+                  "list, reply still arriving at its bound, is told from none") {
+    arrive_within(3s);
+    CHECK(list_error() == errc::reply_too_large);
+    pause_within_body();
+    CHECK(list_error() == errc::unavailable);
+}
+
 TEST_CASE_FIXTURE(broken_store_fixture, "calls, generation in a trailer, is not taken from it") {
     const std::string head =
         "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
--- a/test/support/memory_store.cpp
+++ b/test/support/memory_store.cpp
@@ -20,6 +20,7 @@
 std::optional<errc> write_error(store_fault fault) {
     switch (fault) {
     case store_fault::none:
+    case store_fault::large_reply:
         return std::nullopt;
     case store_fault::unavailable:
         return errc::unavailable;
@@ -31,7 +32,12 @@
 }
 
 bool takes_effect(store_fault fault) {
-    return fault == store_fault::none || fault == store_fault::lose_reply;
+    return fault == store_fault::none || fault == store_fault::large_reply ||
+           fault == store_fault::lose_reply;
+}
+
+errc read_error(store_fault fault) {
+    return fault == store_fault::large_reply ? errc::reply_too_large : errc::unavailable;
 }
 
 } // namespace
@@ -166,8 +172,8 @@
 
 result<std::optional<entry>> memory_store::get(const std::string& key) {
     const std::lock_guard lock{mutex_};
-    if (begin_call() != store_fault::none) {
-        return failure(errc::unavailable);
+    if (const store_fault fault = begin_call(); fault != store_fault::none) {
+        return failure(read_error(fault));
     }
     const auto found = entries_.find(key);
     if (found == entries_.end()) {
@@ -178,8 +184,8 @@
 
 result<listing> memory_store::list(const std::string& prefix) {
     const std::lock_guard lock{mutex_};
-    if (begin_call() != store_fault::none) {
-        return failure(errc::unavailable);
+    if (const store_fault fault = begin_call(); fault != store_fault::none) {
+        return failure(read_error(fault));
     }
     listing listed;
     listed.at = stamp(revision_);
@@ -308,8 +314,8 @@
 result<change_batch> memory_store::watch(const std::string& prefix, revision from,
                                          std::chrono::milliseconds wait) {
     std::unique_lock lock{mutex_};
-    if (begin_call() != store_fault::none) {
-        return failure(errc::unavailable);
+    if (const store_fault fault = begin_call(); fault != store_fault::none) {
+        return failure(read_error(fault));
     }
     if (store::generation_of(from) != generation_ || store::counter_of(from) <= compacted_) {
         return failure(errc::compacted);
--- a/test/support/memory_store.hpp
+++ b/test/support/memory_store.hpp
@@ -16,6 +16,7 @@
 enum class store_fault {
     none,
     unavailable, ///< nothing takes effect, the error says so
+    large_reply, ///< replies to reads are too large; writes take effect
     lose_reply,  ///< writes take effect, their reply is lost
     drop_request ///< nothing takes effect, but the error can't tell
 };
--- a/test/support/platform_stub.cpp
+++ b/test/support/platform_stub.cpp
@@ -7,12 +7,14 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <boost/asio/post.hpp>
 #include <deque>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <sstream>
 #include <strings.h>
 #include <thread>
 
@@ -110,8 +112,10 @@
 struct platform_stub::parts {
     asio::io_context loop{1};
     tcp::acceptor store_acceptor{loop};
+    const std::atomic<std::size_t> unlimited{0};
     tcp::acceptor severable_acceptor{loop};
-    bool is_severed = false; ///< used by the stub's thread only
+    bool is_severed = false;                    ///< used by the stub's thread only
+    std::atomic<std::size_t> severable_rate{0}; ///< bytes a second; zero: not limited
     socket_set severable_connections = std::make_shared<std::set<tcp::socket*>>();
     std::thread thread;
     mutable std::mutex mutex;
@@ -283,10 +287,25 @@
             reset(socket);
             co_return;
         }
-        co_await serve_store(std::move(socket), severable_connections);
+        co_await serve_store(std::move(socket), severable_connections, severable_rate);
     }
 
-    asio::awaitable<void> serve_store(tcp::socket socket, socket_set& open) {
+    asio::awaitable<void> send_paced(tcp::socket& socket, std::string bytes, std::size_t rate) {
+        constexpr std::size_t piece_bytes = 8192;
+        asio::steady_timer pace{loop, std::chrono::steady_clock::now()};
+        net_error error;
+        for (std::size_t sent = 0; sent < bytes.size() && !error; sent += piece_bytes) {
+            const std::string_view piece = std::string_view{bytes}.substr(sent, piece_bytes);
+            pace.expires_at(pace.expiry() + std::chrono::nanoseconds{1s} * piece.size() / rate);
+            co_await pace.async_wait(capture_error(error));
+            co_await asio::async_write(socket, asio::buffer(piece.data(), piece.size()),
+                                       capture_error(error));
+        }
+    }
+
+    /// \param rate of replies, bytes a second; zero: not limited
+    asio::awaitable<void> serve_store(tcp::socket socket, socket_set& open,
+                                      const std::atomic<std::size_t>& rate) {
         const connection_entry entry{open, socket};
         boost::beast::flat_buffer buffer;
         while (true) {
@@ -335,6 +354,12 @@
             }
             answer.body() = made.second.dump();
             answer.prepare_payload();
+            if (rate > 0) {
+                std::ostringstream serialized;
+                serialized << answer;
+                co_await send_paced(socket, serialized.str(), rate);
+                continue;
+            }
             co_await beast_http::async_write(socket, answer, capture_error(error));
         }
     }
@@ -730,7 +755,8 @@
     parts& own = *parts_;
     own.store_acceptor = std::move(*parts::listen(own.loop));
     own.accept(own.store_acceptor, [&own](tcp::socket socket) {
-        asio::co_spawn(own.loop, own.serve_store(std::move(socket), own.store_connections),
+        asio::co_spawn(own.loop,
+                       own.serve_store(std::move(socket), own.store_connections, own.unlimited),
                        asio::detached);
     });
     own.severable_acceptor = std::move(*parts::listen(own.loop));
@@ -874,6 +900,10 @@
     });
 }
 
+void platform_stub::set_severable_rate(std::size_t bytes_per_second) {
+    parts_->severable_rate = bytes_per_second;
+}
+
 std::vector<received_request> platform_stub::seen() const {
     const std::lock_guard lock{parts_->mutex};
     return parts_->seen;
--- a/test/support/platform_stub.hpp
+++ b/test/support/platform_stub.hpp
@@ -109,6 +109,8 @@
     [[nodiscard]] http::endpoint severable_store() const;
     /// \brief Resets the connections to the severable address; new ones are reset as well.
     void sever_store(bool is_severed);
+    /// \brief Paces replies at the severable address, as a narrow link does; zero: not paced.
+    void set_severable_rate(std::size_t bytes_per_second);
 
     /// \brief Starts an engine and registers it.
     /// \param stage "prefill", "decode", or empty for a plain server
