Store: a reply to a read may take longer while it is arriving

What callers saw: 503 for as long as it runs, from a daemon that starts on a link of 10 Mbit/s while the configuration has the largest size that the store takes (1 MiB, 1.4 MB as base64). It never becomes ready.

Cause: a read was given up one second after it began, whether or not its reply was arriving, and that link carries 1.25 MB a second. The next try begins at the first byte again.

The bound on a reply that does not come, or stops coming, is the same second. Watches, which have a smaller way to read the same, and writes are bounded as before.

--- a/src/store/key_value_store.hpp
+++ b/src/store/key_value_store.hpp
@@ -49,7 +49,8 @@
 };
 
 /// \brief The platform's key-value service. Safe for use by several threads.
-/// Every call blocks for at most the implementation's timeout. Errors are of store::errc.
+/// Every call blocks for at most the implementation's timeout, reads for a fixed multiple of it
+/// while their reply is arriving. Errors are of store::errc.
 ///
 /// The service may come back from an older copy of its data. Revisions grow nevertheless, and lease
 /// numbers are not reused, if it states its generation: a lease of an earlier generation has
--- a/test/platform/kv_store_test.cpp
+++ b/test/platform/kv_store_test.cpp
@@ -41,11 +41,12 @@
 struct slow_reply_fixture {
     static constexpr auto timeout = 200ms;
     static constexpr std::size_t body_bytes = 400'000;
+    static constexpr std::size_t value_bytes = body_bytes / 4 * 3; ///< as base64: body_bytes
 
     test_support::platform_stub stub;
     platform::kv_store store{stub.severable_store(), timeout};
 
-    slow_reply_fixture() { stub.put("a/1", std::string(body_bytes * 3 / 4, 'v')); }
+    slow_reply_fixture() { stub.put("a/1", std::string(value_bytes, 'v')); }
     /// Sets the time that a reply with the value takes.
     void arrive_within(std::chrono::milliseconds time) {
         stub.set_severable_rate(body_bytes * 1000 / static_cast<std::size_t>(time.count()));
@@ -222,6 +223,22 @@
     CHECK(list_error() == errc::unavailable);
 }
 
+// Guards against a daemon that never gets ready since the first listing takes longer than the
+// timeout.
+TEST_CASE_FIXTURE(slow_reply_fixture, "list, reply arrives for longer than the timeout, succeeds") {
+    arrive_within(timeout * 3);
+    const auto listed = store.list("");
+    REQUIRE(listed);
+    CHECK(listed->entries.at(0).value.size() == value_bytes);
+}
+
+TEST_CASE_FIXTURE(slow_reply_fixture, "list, store falls silent within a reply, gives up in time") {
+    pause_within_body();
+    const auto begun = std::chrono::steady_clock::now();
+    CHECK(list_error() == errc::unavailable);
+    CHECK(std::chrono::steady_clock::now() - begun < timeout * 4);
+}
+
 TEST_CASE_FIXTURE(broken_store_fixture, "calls, generation in a trailer, is not taken from it") {
     const std::string head =
         "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
--- a/test/store/guarded_store_test.cpp
+++ b/test/store/guarded_store_test.cpp
@@ -61,6 +61,15 @@
     CHECK(kept.calls() == calls);
 }
 
+TEST_CASE_FIXTURE(guarded_fixture, "guarded_store, replies too large, leave the circuit closed") {
+    kept.set_fault(store_fault::large_reply);
+    for (int turn = 0; turn < 20; ++turn) {
+        time.advance(1s);
+        CHECK(guarded.get("a").error() == errc::reply_too_large);
+    }
+    CHECK_FALSE(guarded.is_circuit_open());
+}
+
 TEST_CASE_FIXTURE(guarded_fixture, "guarded_store, store back, one probe closes the circuit") {
     open_circuit();
     kept.set_fault(store_fault::none);
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -96,6 +96,9 @@
         const std::size_t at = row.log.rfind(first);
         return at != std::string::npos && row.log.find(text, at) != std::string::npos;
     }
+    [[nodiscard]] bool has_logged(std::size_t number, const std::string& text) const {
+        return members_.at(number)->has_logged(text);
+    }
     [[nodiscard]] bool all_have_logged(const std::string& text) {
         return std::all_of(members_.begin(), members_.end(),
                            [&](const auto& row) { return row->has_logged(text); });
