Gateway: a daemon that is behind reads the latest values, not every version

Cause: after a failure the daemon watches from its old revision. The reply holds each version since, some 300 KB of text each there, and a link of 10 Mbit/s carries 1.25 MB a second; the call was given up after one. The next call asks for the same and more, until the history is dropped and the daemon lists anew. Each such failure also opened the circuit, and held up the renewal of the daemon's registration.

If the changes are more, the daemon reads the configuration by itself, then the changes of servers and of daemons since its old revision, up to the revision of the configuration. These replies don't grow with the number of versions, and the result equals that of the watch but for versions that have been replaced: nothing is listed, so removed entries, lapses and grace periods are told from each other as before, and a receiver of relayed changes sees no difference. Compacted history, changes of servers that are too many themselves, and a return of the store from an older copy end in a listing as before.

A reply that is too large counts neither as an outage, which would extend the grace period of entries, nor for the circuit, and the registration is renewed after it.

New: log lines registry.behind and registry.caught_up, counter cicadahatch_registry_catch_ups_total.

Ruled out: a longer timeout alone (20 s of versions at once in a VM of 88 MB), a listing in place of the watch (all entries anew, and what was removed has to be guessed), listing after each failure (a third of the daemons list whenever the store refuses them).

--- a/src/discovery/follower.cpp
+++ b/src/discovery/follower.cpp
@@ -2,6 +2,7 @@
 
 #include "src/core/hash.hpp"
 #include "src/store/error.hpp"
+#include "src/store/latest_changes.hpp"
 
 #include <algorithm>
 #include <string_view>
@@ -48,7 +49,8 @@
 
 bool has_changes(const registry_update& update) {
     return update.configuration || update.is_snapshot || update.has_daemon_list ||
-           !update.present.empty() || !update.absent.empty() || !update.unreadable.empty();
+           update.caught_up || !update.present.empty() || !update.absent.empty() ||
+           !update.unreadable.empty();
 }
 
 /// Whether this daemon has held the call back, which tells nothing new about the store.
@@ -137,6 +139,9 @@
 }
 
 void follower::record_failure(time_point called_at, const std::error_code& error) {
+    if (error == store::errc::reply_too_large) {
+        return; // The store answers, so an outage has ended before.
+    }
     if (!is_unsent(error) || !is_unreachable_) {
         failed_call_at_ = called_at;
     }
@@ -157,7 +162,8 @@
 }
 
 result<registry_update> follower::poll() {
-    const bool can_use_feed = feed_ != nullptr && !watch_.position().empty();
+    // Deltas don't fill a gap that is known already.
+    const bool can_use_feed = feed_ != nullptr && !watch_.position().empty() && !behind_since_;
     if (can_use_feed && feed_->is_live()) {
         return poll_feed();
     }
@@ -198,11 +204,15 @@
         lease_time_ == nullptr ? std::nullopt : std::optional{lease_time_->now()};
     // The first poll after an outage returns at once: entries that are removed later did not lapse
     // in it.
-    auto polled = watch_.poll(is_unreachable_ ? std::chrono::milliseconds{0} : wait);
+    auto polled = read_changes(is_unreachable_ ? std::chrono::milliseconds{0} : wait);
     if (!polled) {
         record_failure(called_at, polled.error());
         return tl::unexpected(polled.error());
     }
+    std::optional<catch_up> caught_up;
+    if (behind_since_) {
+        caught_up = finish_catch_up(before, *polled);
+    }
     const bool has_lapsed_entries = is_unreachable_ && may_have_missed_outage();
     time_point grace_ends_at = has_lapsed_entries ? outage_grace_end() : time_point{};
     std::optional<store_restore> restored;
@@ -221,9 +231,54 @@
     update.grace_ends_at = grace_ends_at;
     update.complete_as_of = complete_as_of;
     update.restored = restored;
+    update.caught_up = caught_up;
     return complete(std::move(update));
 }
 
+result<store::watch_update> follower::read_changes(std::chrono::milliseconds wait) {
+    if (!behind_since_) {
+        const time_point called_at = time_.now();
+        auto polled = watch_.poll(wait);
+        const bool has_position = !watch_.position().empty();
+        if (polled || polled.error() != store::errc::reply_too_large || !has_position) {
+            return polled;
+        }
+        behind_since_ = called_at;
+        if (on_behind_) {
+            on_behind_(watch_.position());
+        }
+    }
+    auto latest = read_latest();
+    const bool is_listing_due = !latest && latest.error() == store::errc::compacted;
+    return is_listing_due ? watch_.list() : latest;
+}
+
+result<store::watch_update> follower::read_latest() {
+    const store::split_keys keys{schema_.configuration_key,
+                                 {schema_.backend_prefix, schema_.daemon_prefix}};
+    const revision position = watch_.position();
+    auto latest = store::read_latest_changes(store_, keys, revision{position.value() + 1});
+    if (!latest) {
+        return tl::unexpected(latest.error());
+    }
+    watch_.skip_through(revision{latest->next.value() - 1});
+    return store::watch_update{false, {}, std::move(latest->changes)};
+}
+
+catch_up follower::finish_catch_up(revision before, const store::watch_update& polled) {
+    catch_up done{before, watch_.position()};
+    for (const store::entry& entry : polled.entries) {
+        done.bytes += entry.value.size();
+    }
+    for (const store::change& change : polled.changes) {
+        done.bytes += change.changed.value.size();
+    }
+    done.taken = std::chrono::duration_cast<std::chrono::milliseconds>(
+        time_.now() - behind_since_.value_or(time_.now()));
+    behind_since_.reset();
+    return done;
+}
+
 /// Lost registrations are written again, lost versions of the configuration published again.
 store_restore follower::record_restore(revision before) {
     const time_point now = time_.now();
@@ -388,11 +443,20 @@
     return tl::unexpected(renewed.error());
 }
 
+void follower::renew_presence(const status_handler& on_status) {
+    if (const auto maintained = maintain_presence(); !maintained) {
+        on_status({true, maintained.error()});
+    }
+}
+
 void follower::run(const update_handler& on_update, const status_handler& on_status) {
     while (!is_stopping_) {
         auto update = poll();
         report_status(update ? std::error_code{} : update.error(), on_status);
         if (!update) {
+            if (update.error() == store::errc::reply_too_large) {
+                renew_presence(on_status);
+            }
             std::this_thread::sleep_for(options_.retry_delay);
             continue;
         }
@@ -407,10 +471,7 @@
         if (is_pause_due) {
             std::this_thread::sleep_for(options_.update_delay);
         }
-        const auto maintained = maintain_presence();
-        if (!maintained) {
-            on_status({true, maintained.error()});
-        }
+        renew_presence(on_status);
     }
     withdraw_presence();
 }
--- a/src/discovery/follower.hpp
+++ b/src/discovery/follower.hpp
@@ -48,6 +48,14 @@
     time_point removed_usable_at;
 };
 
+/// \brief This daemon had fallen behind and has read the latest values only.
+struct catch_up {
+    revision before;                   ///< up to which this daemon had followed the store
+    revision after;                    ///< up to which it has now
+    std::size_t bytes = 0;             ///< of the values that were read
+    std::chrono::milliseconds taken{}; ///< from the poll whose reply was too large
+};
+
 /// \brief The decoded changes of one poll.
 struct registry_update {
     std::optional<routing::configuration> configuration;
@@ -61,6 +69,7 @@
     time_point grace_ends_at; ///< absent backend servers are kept until then; the epoch: not kept
     bool is_relayed = false;  ///< read from the store by another daemon
     std::optional<store_restore> restored; ///< the snapshot is the first after a restore
+    std::optional<catch_up> caught_up{}; ///< changes that were replaced meanwhile are not contained
     /// Every version of the configuration accepted before this time is known; empty: no new time.
     std::optional<time_point> complete_as_of{};
 };
@@ -101,6 +110,7 @@
     using confirmation_handler = std::function<void(time_point complete_as_of)>;
     using generation_handler = std::function<void(store::generation)>;
     using registration_handler = std::function<void()>;
+    using behind_handler = std::function<void(revision position)>;
 
     /// \param store,time outlive this object
     follower(store::key_value_store& store, registry_schema schema, follower_options options,
@@ -125,6 +135,9 @@
     /// \brief Sets the handler of each generation of the store, the first included.
     void on_generation(generation_handler handler) { on_generation_ = std::move(handler); }
 
+    /// \brief Sets the handler of the first poll in a row whose reply is too large.
+    void on_behind(behind_handler handler) { on_behind_ = std::move(handler); }
+
     /// \brief Sets the handler of each registration of this daemon, renewals of its lease excluded.
     void on_registration(registration_handler handler) { on_registration_ = std::move(handler); }
 
@@ -157,6 +170,10 @@
     void stop() { is_stopping_ = true; }
 
 private:
+    /// \brief Watches for changes, or catches up if there are too many for one reply.
+    [[nodiscard]] result<store::watch_update> read_changes(std::chrono::milliseconds wait);
+    [[nodiscard]] result<store::watch_update> read_latest();
+    [[nodiscard]] catch_up finish_catch_up(revision before, const store::watch_update& polled);
     [[nodiscard]] result<registry_update> poll_store(std::chrono::milliseconds wait);
     void record_generation(revision before);
     [[nodiscard]] store_restore record_restore(revision before);
@@ -176,6 +193,8 @@
     [[nodiscard]] time_point outage_grace_end() const;
     [[nodiscard]] std::string own_key() const;
     [[nodiscard]] result<void> register_self();
+    /// Reports a failure of maintain_presence().
+    void renew_presence(const status_handler& on_status);
     [[nodiscard]] result<void> maintain_absence();
     [[nodiscard]] result<void> remove_registration();
     [[nodiscard]] result<void> erase_restored_key();
@@ -194,10 +213,13 @@
     generation_handler on_generation_;
     registration_handler on_registration_;
     registration_handler on_withdrawal_;
+    behind_handler on_behind_;
     const clock* lease_time_ = nullptr; ///< null: the age of the configuration is not measured
     std::map<std::string, registered_daemon> daemons_; ///< by key
     std::optional<store_status> reported_status_;
     bool is_unreachable_ = false;
+    /// Start of the poll whose reply was too large; empty unless this daemon has to catch up.
+    std::optional<time_point> behind_since_;
     time_point failed_call_at_; ///< start of the last call of the store that failed
     std::atomic<time_point> last_read_at_{time_point{}};
     time_point unconfirmed_until_; ///< the configuration may lack versions that a restore has lost
--- a/src/gateway/internal/gateway_daemon_impl.cpp
+++ b/src/gateway/internal/gateway_daemon_impl.cpp
@@ -228,6 +228,9 @@
             lease_manager_->set_generation(current);
         }
     });
+    follower_->on_behind([this](revision position) {
+        asio::post(loop_, [this, position] { log_behind(position); });
+    });
     follower_->on_registration([this] {
         asio::post(loop_, [this] { log_.write(weight::notable, "daemon.registered", {}); });
     });
@@ -529,10 +532,32 @@
         .add();
 }
 
+void gateway_daemon::impl::log_behind(revision position) {
+    log_.write(weight::notable, "registry.behind",
+               {{"revision", store::counter_of(position)},
+                {"version", state_.table ? state_.table->version() : 0},
+                {"registry_age_ms", registry_age()}});
+    metric_values_
+        .counter_of(metrics::metric_name{"cicadahatch_registry_catch_ups_total"},
+                    "Times that more had changed in the store than one reply may hold")
+        .add();
+}
+
+void gateway_daemon::impl::log_catch_up(const discovery::catch_up& done) {
+    log_.write(weight::notable, "registry.caught_up",
+               {{"revision_before", store::counter_of(done.before)},
+                {"revision", store::counter_of(done.after)},
+                {"bytes", done.bytes},
+                {"taken_ms", done.taken}});
+}
+
 void gateway_daemon::impl::on_update(discovery::registry_update update) {
     if (update.restored) {
         log_restore(*update.restored);
     }
+    if (update.caught_up) {
+        log_catch_up(*update.caught_up);
+    }
     if (update.configuration) {
         lost_configuration_.record_stored(update.configuration_entry,
                                           update.configuration->version);
--- a/src/gateway/internal/gateway_daemon_impl.hpp
+++ b/src/gateway/internal/gateway_daemon_impl.hpp
@@ -61,6 +61,8 @@
     void tick_registry();
     void follow();
     void on_update(discovery::registry_update update);
+    void log_behind(revision position);
+    void log_catch_up(const discovery::catch_up& done);
     void log_restore(const discovery::store_restore& restored);
     void on_configuration(routing::configuration accepted);
     void on_passed_configuration(const store::entry& entry);
--- a/src/store/forward_declarations.hpp
+++ b/src/store/forward_declarations.hpp
@@ -12,6 +12,7 @@
 struct change_batch;
 struct entry;
 struct listing;
+struct split_keys;
 struct swap_outcome;
 struct virtual_machine;
 
--- a/src/store/key_value_store.hpp
+++ b/src/store/key_value_store.hpp
@@ -95,7 +95,8 @@
     /// \param from first revision of interest: the next of an earlier batch, or one more than the
     /// revision of a listing
     /// \param wait longest time to wait; the batch is empty if nothing changed
-    /// \returns the changes without a gap, or errc::compacted
+    /// \returns the changes without a gap, or errc::compacted; errc::reply_too_large if they are
+    /// more than the implementation reads at once, see read_latest_changes()
     [[nodiscard]] virtual result<change_batch> watch(const std::string& prefix, revision from,
                                                      std::chrono::milliseconds wait) = 0;
 
--- /dev/null
+++ b/src/store/latest_changes.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "src/store/key_value_store.hpp"
+
+#include <string>
+#include <vector>
+
+namespace cicadahatch::store {
+
+/// \brief Keys that are read together although one of them has a large value.
+struct split_keys {
+    std::string large_key;
+    std::vector<std::string> prefixes; ///< of all other keys that matter
+};
+
+/// \brief Reads the changes since a revision, except values of the large key that have been
+/// replaced.
+///
+/// A watch of all keys returns each of these values, so its reply grows with their number. This
+/// takes one listing and a watch a prefix, of which only the listing is large. The batch is
+/// consistent: it ends at the revision of the listing, which is read first. It does not tell that
+/// the large key was erased. \param from as for key_value_store::watch() \returns the changes in
+/// the order of their revisions, or the first error of a call. The caller has to list all keys
+/// after errc::compacted, which is also returned if the changes below a prefix are too many for one
+/// reply; errc::reply_too_large concerns the large key.
+[[nodiscard]] result<change_batch> read_latest_changes(key_value_store& kept,
+                                                       const split_keys& keys, revision from);
+
+} // namespace cicadahatch::store
--- a/src/store/resuming_watch.hpp
+++ b/src/store/resuming_watch.hpp
@@ -28,6 +28,9 @@
     /// After an error the caller pauses and calls again.
     [[nodiscard]] result<watch_update> poll(std::chrono::milliseconds wait);
 
+    /// \brief Lists all keys, whatever has been seen. A failure keeps its place.
+    [[nodiscard]] result<watch_update> list();
+
     /// \brief Keeps no watch open until the next poll, which goes on from the same place.
     void rest() { kept_.end_watch(prefix_); }
 
@@ -41,8 +44,6 @@
     void restart() { next_ = {}; }
 
 private:
-    [[nodiscard]] result<watch_update> list();
-
     key_value_store& kept_;
     std::string prefix_;
     revision next_; ///< empty: list first
--- a/test/discovery/follower_test.cpp
+++ b/test/discovery/follower_test.cpp
@@ -1,4 +1,5 @@
 #include "src/discovery/follower.hpp"
+#include "src/discovery/registry_feed.hpp"
 #include "test/support/memory_store.hpp"
 
 #include <algorithm>
@@ -98,6 +99,26 @@
     }
 };
 
+/// A follower that has polled a store, whose replies to watches are limited.
+struct large_gap_fixture : follower_fixture {
+    static constexpr std::size_t max_watch_bytes = 100;
+    std::vector<revision> behind; ///< as reported
+
+    large_gap_fixture() {
+        put("s/a", "x");
+        put("config", "1000");
+        static_cast<void>(poll());
+        store.limit_watches(max_watch_bytes);
+        follower.on_behind([this](revision position) { behind.push_back(position); });
+    }
+    /// Versions 1001 to 1050, which exceed the limit.
+    void publish_versions() {
+        for (int version = 1001; version <= 1050; ++version) {
+            put("config", std::to_string(version));
+        }
+    }
+};
+
 bool lists(const registry_update& update, const std::string& id) {
     return std::any_of(update.present.begin(), update.present.end(),
                        [&](const backend& server) { return server.id == backend_id{id}; });
@@ -494,3 +515,130 @@
         {}, store::errc::unavailable, store::errc::reply_too_large, {}};
     CHECK(reported == expected);
 }
+
+// Guards against a follower that asks for all versions again and again, though it needs the latest.
+TEST_CASE_FIXTURE(large_gap_fixture,
+                  "poll, versions too large for one reply, reads the latest and all else") {
+    put("s/b", "x");
+    publish_versions();
+    erase("s/a");
+    put("d/d2", "10.0.0.2:7000 north");
+    const registry_update update = poll();
+    CHECK_FALSE(update.is_snapshot);
+    REQUIRE(update.configuration);
+    CHECK(update.configuration->version == 1050);
+    CHECK(lists(update, "b"));
+    CHECK(update.absent == std::vector<backend_id>{backend_id{"a"}});
+    CHECK(update.daemons.size() == 1);
+    CHECK(behind.size() == 1);
+    REQUIRE(update.caught_up);
+    CHECK(update.caught_up->before == behind.front());
+    CHECK(update.caught_up->after > behind.front());
+}
+
+TEST_CASE_FIXTURE(large_gap_fixture, "poll, after catching up, watches for changes again") {
+    publish_versions();
+    static_cast<void>(poll());
+    const std::uint64_t calls = store.calls();
+    CHECK_FALSE(poll().caught_up);
+    CHECK(store.calls() == calls + 1);
+    put("config", "1051");
+    const registry_update update = poll();
+    CHECK(update.configuration->version == 1051);
+    CHECK(update.present.empty());
+}
+
+TEST_CASE_FIXTURE(large_gap_fixture, "poll, store fails while catching up, goes on catching up") {
+    publish_versions();
+    std::uint64_t calls = 0;
+    store.set_faults(
+        [&](std::uint64_t) { return ++calls == 2 ? store_fault::unavailable : store_fault::none; });
+    CHECK(follower.poll().error() == store::errc::unavailable);
+    CHECK(poll().configuration->version == 1050);
+    CHECK(behind.size() == 1);
+}
+
+// Guards against a follower that waits for other daemons, though it knows of a gap.
+TEST_CASE_FIXTURE(large_gap_fixture,
+                  "poll, store fails while catching up and others relay, goes on catching up") {
+    registry_feed feed{time, 1h};
+    follower.use_feed(feed);
+    publish_versions();
+    const revision newest = store.list("").value().at;
+    feed.offer({newest, newest, {}});
+    std::uint64_t calls = 0;
+    store.set_faults(
+        [&](std::uint64_t) { return ++calls == 2 ? store_fault::unavailable : store_fault::none; });
+    CHECK(follower.poll().error() == store::errc::unavailable);
+    CHECK(poll().caught_up);
+}
+
+TEST_CASE_FIXTURE(large_gap_fixture, "poll, large gap and history compacted, returns a snapshot") {
+    publish_versions();
+    erase("s/a");
+    std::uint64_t calls = 0;
+    store.set_faults(
+        [&](std::uint64_t) { return ++calls == 1 ? store_fault::large_reply : store_fault::none; });
+    store.compact();
+    const registry_update update = poll();
+    CHECK(update.is_snapshot);
+    CHECK(update.configuration->version == 1050);
+    CHECK_FALSE(lists(update, "a"));
+    CHECK(update.caught_up);
+}
+
+TEST_CASE_FIXTURE(large_gap_fixture, "poll, servers too large for one reply, returns a snapshot") {
+    for (int number = 0; number < 200; ++number) {
+        put("s/b", "x");
+    }
+    const registry_update update = poll();
+    CHECK(update.is_snapshot);
+    CHECK(lists(update, "a"));
+    CHECK(lists(update, "b"));
+}
+
+TEST_CASE_FIXTURE(large_gap_fixture, "poll, large gap after a restore, tells of the restore") {
+    const auto copied = store.copy();
+    publish_versions();
+    static_cast<void>(poll());
+    put("s/b", "x");
+    publish_versions();
+    store.restore(copied);
+    const registry_update update = poll();
+    REQUIRE(update.restored);
+    CHECK(update.configuration->version == 1000);
+}
+
+// Guards against a grace period that starts anew with a reply that is too large.
+TEST_CASE_FIXTURE(
+    large_gap_fixture,
+    "poll, outage and then a large gap, grace ends a stabilization after the outage") {
+    erase("s/a");
+    publish_versions();
+    lose_store(10s);
+    const time_point failed_at = time.now();
+    time.advance(3s);
+    store.set_fault(store_fault::large_reply);
+    CHECK(follower.poll().error() == store::errc::reply_too_large);
+    store.set_fault(store_fault::none);
+    const registry_update update = poll();
+    CHECK(update.absent == std::vector<backend_id>{backend_id{"a"}});
+    CHECK(update.grace_ends_at == failed_at + options.stabilization);
+}
+
+// Guards against a daemon whose registration lapses while it serves.
+TEST_CASE_FIXTURE(large_gap_fixture, "run, replies too large, renews the registration") {
+    bool is_registered = false;
+    follower.on_registration([&] {
+        is_registered = true;
+        follower.stop();
+    });
+    store.set_faults([&](std::uint64_t number) {
+        if (number > 100) {
+            follower.stop();
+        }
+        return store_fault::large_reply;
+    });
+    follower.run([](const registry_update&) {}, [](const store_status&) {});
+    CHECK(is_registered);
+}
--- a/test/platform/kv_store_test.cpp
+++ b/test/platform/kv_store_test.cpp
@@ -232,6 +232,24 @@
     CHECK(listed->entries.at(0).value.size() == value_bytes);
 }
 
+TEST_CASE_FIXTURE(slow_reply_fixture, "watch, reply too long for its time, gives up in time") {
+    const revision first{store::make_revision({}, 1)};
+    arrive_within(timeout * 20);
+    const auto begun = std::chrono::steady_clock::now();
+    CHECK(error_of(store.watch("", first, 0ms)) == errc::reply_too_large);
+    CHECK(std::chrono::steady_clock::now() - begun < timeout * 4);
+}
+
+TEST_CASE_FIXTURE(slow_reply_fixture, "watch, reply states too large a body, gives up at once") {
+    constexpr std::size_t value_size = 600'000;
+    const revision first{store::make_revision({}, 1)};
+    for (int version = 0; version < 4; ++version) {
+        stub.put("a/1", std::string(value_size, 'v'));
+    }
+    CHECK(error_of(store.watch("", first, 0ms)) == errc::reply_too_large);
+    CHECK(store.list("")->entries.at(0).value.size() == value_size);
+}
+
 TEST_CASE_FIXTURE(slow_reply_fixture, "list, store falls silent within a reply, gives up in time") {
     pause_within_body();
     const auto begun = std::chrono::steady_clock::now();
--- a/test/support/memory_store.cpp
+++ b/test/support/memory_store.cpp
@@ -40,6 +40,14 @@
     return fault == store_fault::large_reply ? errc::reply_too_large : errc::unavailable;
 }
 
+std::size_t value_bytes(const change_batch& batch) {
+    std::size_t bytes = 0;
+    for (const change& past : batch.changes) {
+        bytes += past.changed.value.size();
+    }
+    return bytes;
+}
+
 } // namespace
 
 void memory_store::set_faults(std::function<store_fault(std::uint64_t)> chosen) {
@@ -78,6 +86,11 @@
     changed_.notify_all();
 }
 
+void memory_store::limit_watches(std::size_t bytes) {
+    const std::lock_guard lock{mutex_};
+    max_watch_bytes_ = bytes;
+}
+
 std::chrono::milliseconds memory_store::last_wait() const {
     const std::lock_guard lock{mutex_};
     return last_wait_;
@@ -327,6 +340,9 @@
         expire_leases();
         batch = changes_since(prefix, from);
     }
+    if (value_bytes(batch) > max_watch_bytes_) {
+        return failure(errc::reply_too_large);
+    }
     return batch;
 }
 
--- a/test/support/memory_store.hpp
+++ b/test/support/memory_store.hpp
@@ -7,6 +7,7 @@
 #include <condition_variable>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <mutex>
 
@@ -44,6 +45,9 @@
     void set_faults(std::function<store_fault(std::uint64_t)> chosen);
     /// \brief Every call meets this fault until told otherwise.
     void set_fault(store_fault fault);
+    /// \brief Watches fail with errc::reply_too_large if the values of their changes have more
+    /// bytes.
+    void limit_watches(std::size_t bytes);
     /// \returns how long the last watch was to wait for changes
     [[nodiscard]] std::chrono::milliseconds last_wait() const;
     /// \brief Forgets history up to the present, so that older watches get errc::compacted.
@@ -93,6 +97,7 @@
     std::uint64_t compacted_ = 0;
     std::uint64_t next_lease_ = 1;
     std::chrono::milliseconds last_wait_{0};
+    std::size_t max_watch_bytes_ = std::numeric_limits<std::size_t>::max();
     std::uint64_t calls_ = 0;
     std::uint64_t writes_ = 0;
 };
