--- a/test/gateway/large_configuration_test.cpp
+++ b/test/gateway/large_configuration_test.cpp
@@ -1,54 +1,29 @@
 #include "test/support/gateway_fleet.hpp"
+#include "test/support/large_configuration.hpp"
 
 #include <doctest/doctest.h>
-#include <nlohmann/json.hpp>
 
 namespace {
 
 using namespace std::chrono_literals;
 using namespace cicadahatch;
-using json = nlohmann::json;
 using test_support::eventually;
 using test_support::gateway_fixture;
 using test_support::gateway_fleet;
-using test_support::sample_platform_configuration;
+using test_support::large_configuration;
+using test_support::max_value_bytes;
+using test_support::narrow_link_rate;
+using test_support::version_seen;
 
-/// Of the narrowest link of a VM, 10 Mbit/s.
-constexpr std::size_t link_bytes_per_second = 10'000'000 / 8;
 /// Time from the end of a disruption after which a gateway is held to all bounds.
 constexpr auto stabilization_bound = 4000ms;
-/// Largest value that the store takes.
-constexpr std::size_t max_value_bytes = 1'048'576;
-
-/// The sample configuration with added routes, /added0/ the first, until it has a size.
-std::string large_configuration(std::uint64_t version, std::size_t bytes) {
-    constexpr std::size_t prefix_bytes = 4096;
-    json made = json::parse(sample_platform_configuration(version));
-    json added = made["routes"][0];
-    const std::size_t routes = (bytes - made.dump().size()) / (prefix_bytes + added.dump().size());
-    for (std::size_t number = 0; number < routes; ++number) {
-        const std::string name = "added" + std::to_string(number);
-        added["name"] = name;
-        added["prefix"] = "/" + name + "/";
-        if (number > 0) {
-            added["prefix"] =
-                "/" + std::string(prefix_bytes, 'p') + added["prefix"].get<std::string>();
-        }
-        made["routes"].push_back(added);
-    }
-    return made.dump();
-}
-
-std::string version_seen(std::uint64_t version) {
-    return R"("configuration.seen","version":)" + std::to_string(version);
-}
 
 /// Two gateways; the second one reads the store over a narrow link.
 struct narrow_link_fixture : gateway_fleet {
     static constexpr std::size_t narrow = 1; ///< number of the gateway with the narrow link
 
     narrow_link_fixture() : gateway_fleet(1, make_bounds()) {
-        stub.set_severable_rate(link_bytes_per_second);
+        stub.set_severable_rate(narrow_link_rate);
     }
     static settings::installation_bounds make_bounds() {
         settings::installation_bounds bounds;
