--- a/src/discovery/follower.cpp
+++ b/src/discovery/follower.cpp
@@ -53,6 +53,17 @@
            !update.unreadable.empty();
 }
 
+std::size_t count_value_bytes(const store::watch_update& polled) {
+    std::size_t bytes = 0;
+    for (const store::entry& entry : polled.entries) {
+        bytes += entry.value.size();
+    }
+    for (const store::change& change : polled.changes) {
+        bytes += change.changed.value.size();
+    }
+    return bytes;
+}
+
 /// Whether this daemon has held the call back, which tells nothing new about the store.
 bool is_unsent(const std::error_code& error) {
     return error == store::errc::circuit_open || error == store::errc::rate_limited;
@@ -209,10 +220,7 @@
         record_failure(called_at, polled.error());
         return tl::unexpected(polled.error());
     }
-    std::optional<catch_up> caught_up;
-    if (behind_since_) {
-        caught_up = finish_catch_up(before, *polled);
-    }
+    const std::optional<catch_up> caught_up = end_catch_up(before, *polled);
     const bool has_lapsed_entries = is_unreachable_ && may_have_missed_outage();
     time_point grace_ends_at = has_lapsed_entries ? outage_grace_end() : time_point{};
     std::optional<store_restore> restored;
@@ -265,18 +273,14 @@
     return store::watch_update{false, {}, std::move(latest->changes)};
 }
 
-catch_up follower::finish_catch_up(revision before, const store::watch_update& polled) {
-    catch_up done{before, watch_.position()};
-    for (const store::entry& entry : polled.entries) {
-        done.bytes += entry.value.size();
-    }
-    for (const store::change& change : polled.changes) {
-        done.bytes += change.changed.value.size();
+std::optional<catch_up> follower::end_catch_up(revision before, const store::watch_update& polled) {
+    if (!behind_since_) {
+        return std::nullopt;
     }
-    done.taken = std::chrono::duration_cast<std::chrono::milliseconds>(
-        time_.now() - behind_since_.value_or(time_.now()));
+    const duration taken = time_.now() - *behind_since_;
     behind_since_.reset();
-    return done;
+    return catch_up{before, watch_.position(), count_value_bytes(polled),
+                    std::chrono::duration_cast<std::chrono::milliseconds>(taken)};
 }
 
 /// Lost registrations are written again, lost versions of the configuration published again.
--- a/src/discovery/follower.hpp
+++ b/src/discovery/follower.hpp
@@ -173,7 +173,9 @@
     /// \brief Watches for changes, or catches up if there are too many for one reply.
     [[nodiscard]] result<store::watch_update> read_changes(std::chrono::milliseconds wait);
     [[nodiscard]] result<store::watch_update> read_latest();
-    [[nodiscard]] catch_up finish_catch_up(revision before, const store::watch_update& polled);
+    /// \returns what was caught up with, if this daemon was behind
+    [[nodiscard]] std::optional<catch_up> end_catch_up(revision before,
+                                                       const store::watch_update& polled);
     [[nodiscard]] result<registry_update> poll_store(std::chrono::milliseconds wait);
     void record_generation(revision before);
     [[nodiscard]] store_restore record_restore(revision before);
